--- /dev/null
+++ b/briarrockd/caller/attempt.go
@@ -0,0 +1,120 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"briarrock.example/briarrockd/relay"
+	"briarrock.example/briarrockd/target"
+	"briarrock.example/mesh/kind"
+	"briarrock.example/mesh/snapshot"
+)
+
+// deadlineSlack leaves the target's node the time to say itself that the
+// deadline has passed, since it knows whether the request was sent.
+const deadlineSlack = 50 * time.Millisecond
+
+// keepAnswer bounds the answers that are read whole before any of them is
+// passed on: if one breaks off, the request can still be sent again, and its
+// caller gets a clear failure and not a broken connection.
+const keepAnswer = 64 << 10
+
+// attempt is what one try at a target told.
+type attempt struct {
+	res   *http.Response
+	kind  kind.Kind
+	ran   kind.Ran
+	after time.Duration
+	host  string
+	took  time.Duration
+	// reached is set when the request got to the target, whatever came of it.
+	reached bool
+	cancel  context.CancelFunc
+}
+
+// failure tells whether the target answered that it failed.
+func (a *attempt) failure() bool {
+	return a.kind == kind.None && a.res != nil && a.res.StatusCode >= http.StatusInternalServerError
+}
+
+// try sends a call to one upstream. A nil res comes with a kind; an answer of
+// a target's node that it is a failure comes with both, its body unread.
+func (p *Proxy) try(ctx context.Context, c *call, u upstream) attempt {
+	p.attempts.Inc()
+	began := time.Now()
+	body, length := c.payload()
+	res, out := relay.Send(ctx, relay.Call{
+		In: c.r, URL: relay.Toward(&url.URL{Scheme: p.deps.Scheme, Host: u.addr}, c.r), Host: c.r.Host,
+		Add: c.towardsNode(), Body: body, Length: length, Transport: p.deps.Transport, Stall: p.deps.Stall,
+		Deadline: c.deadline.Add(deadlineSlack), Streamed: c.streamed,
+		Once: c.route.Mode == snapshot.Once,
+	})
+	a := attempt{res: res, host: u.host, kind: out.Kind}
+	if res != nil {
+		a.read(res, c.streamed)
+	} else {
+		a.reached = out.Sent
+		a.ran = out.Kind.Answer().Ran
+		if !out.Sent {
+			a.ran = kind.RanNo
+		}
+	}
+	a.took = time.Since(began)
+	p.deps.Chooser.done(time.Now(), c.service.Name, u.host, a.feedback(out))
+	return a
+}
+
+// read takes an answer's head, and its body if that is short. The answer to a
+// streamed request may begin before that has ended, and so is streamed as well.
+func (a *attempt) read(res *http.Response, streamed bool) {
+	a.ran = kind.ParseRan(res.Header.Get(kind.HeaderRan))
+	a.kind = kind.Kind(res.Header.Get(kind.HeaderKind))
+	a.after = relay.After(res.Header)
+	a.reached = a.kind == kind.None || a.kind == kind.Shed || a.ran != kind.RanNo
+	if a.kind != kind.None || (streamed && res.ContentLength < 0) {
+		return
+	}
+	if relay.Whole(res, keepAnswer) != nil {
+		a.res, a.kind, a.ran = nil, kind.Broken, kind.RanUnknown
+	}
+}
+
+// feedback is what the attempt tells about the upstream.
+func (a *attempt) feedback(out relay.Outcome) Feedback {
+	f := Feedback{Load: -1}
+	if a.res == nil {
+		f.Failed = out.Kind != kind.Cancel
+		f.Unreached = out.Kind == kind.Refused
+		return f
+	}
+	h := a.res.Header
+	if load, err := strconv.ParseFloat(h.Get(target.HeaderLoad), 64); err == nil {
+		f.Load = load
+	}
+	if ms, err := strconv.ParseInt(h.Get(target.HeaderUsual), 10, 64); err == nil {
+		f.Usual = time.Duration(ms) * time.Millisecond
+	}
+	f.Failed = a.kind == kind.Refused || a.kind == kind.Broken || a.kind == kind.Late
+	f.Poor = a.kind == kind.Shed || a.failure()
+	f.Leaving = a.kind == kind.Drain
+	return f
+}
+
+func (c *call) towardsNode() http.Header {
+	h := make(http.Header, 6)
+	h.Set(target.HeaderService, c.service.Name)
+	h.Set(target.HeaderDeadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 0), 10))
+	h.Set(target.HeaderPriority, strconv.Itoa(int(c.route.Priority)))
+	h.Set(target.HeaderPrint, strconv.FormatUint(c.print, 16))
+	h.Set(target.HeaderTrace, c.trace)
+	if c.route.Mode == snapshot.Once {
+		h.Set(target.HeaderOnce, "yes")
+	}
+	if c.caller != "" {
+		h.Set(target.HeaderCaller, c.caller)
+	}
+	return h
+}
--- a/briarrockd/caller/budget.go
+++ b/briarrockd/caller/budget.go
@@ -1,6 +1,9 @@
 package caller
 
-import "sync"
+import (
+	"math"
+	"sync"
+)
 
 // The retry budget.
 const (
@@ -19,10 +22,19 @@
 type Budget struct {
 	mu     sync.Mutex
 	tokens map[string]float64
+	most   float64
 }
 
 // NewBudget returns a budget that starts with a few retries in hand.
-func NewBudget() *Budget { return &Budget{tokens: make(map[string]float64)} }
+func NewBudget() *Budget { return &Budget{tokens: make(map[string]float64), most: most} }
+
+// Share bounds what is saved up to this node's part of what all nodes of the
+// mesh may save together, so that all of them spending at once stay within it.
+func (b *Budget) Share(all float64, nodes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.most = math.Min(most, math.Max(1, all/float64(max(nodes, 1))))
+}
 
 // call counts a first attempt.
 func (b *Budget) call(service string) {
@@ -35,14 +47,25 @@
 		}
 		have = 1
 	}
-	b.tokens[service] = min(most, have+perCall)
+	b.tokens[service] = min(b.most, have+perCall)
 }
 
 // retry takes one retry out of the budget; false if there is none.
-func (b *Budget) retry(service string) bool {
+func (b *Budget) retry(service string) bool { return b.take(service, 1) }
+
+// hedge takes one attempt that may turn out needless out of the budget. It
+// leaves half of it to retries of what has certainly failed.
+func (b *Budget) hedge(service string) bool {
+	b.mu.Lock()
+	spare := b.most / 2
+	b.mu.Unlock()
+	return b.take(service, max(1, spare))
+}
+
+func (b *Budget) take(service string, least float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens[service] < 1 {
+	if b.tokens[service] < least {
 		return false
 	}
 	b.tokens[service]--
--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -20,9 +20,7 @@
 	"encoding/hex"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -62,6 +60,9 @@
 	Metrics *metrics.Set
 	// Stall bounds the time without a byte moving.
 	Stall time.Duration
+	// Hedge sends a request that may be repeated to a second target when the
+	// first one takes unusually long.
+	Hedge bool
 }
 
 // Proxy takes requests from callers. New makes one; it is an http.Handler.
@@ -108,9 +109,12 @@
 // call is one request on its way, with what was decided about it.
 type call struct {
 	r        *http.Request
+	table    *Table
+	entry    string // name of the entry that it came by, if any
 	service  *service
 	route    snapshot.Route
 	caller   string
+	began    time.Time
 	deadline time.Time
 	body     []byte // kept to be sent again; nil for none or a streamed one
 	streamed bool
@@ -118,20 +122,25 @@
 	print    uint64
 	claim    *claim.Claim
 	trace    string
+	story    story
 }
 
 // refusal is a decision against a call.
 type refusal struct {
 	kind  kind.Kind
-	after int
+	after time.Duration
 }
 
+// emptyAfter is when to ask again for a service that has no live target: one
+// that was restarted is back in about this time.
+const emptyAfter = 300 * time.Millisecond
+
 // ServeHTTP implements http.Handler.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.calls.Inc()
 	if p.inflight.Add(1) > maxInflight {
 		p.inflight.Add(-1)
-		p.fail(w, &call{r: r, trace: traceOf(r)}, kind.Full, kind.RanNo, 0)
+		p.fail(w, &call{r: r, trace: traceOf(r), began: time.Now()}, kind.Full, kind.RanNo, 0)
 		return
 	}
 	defer p.inflight.Add(-1)
@@ -153,52 +162,65 @@
 // admit finds the route of a request and checks all that can be checked
 // before anything is sent.
 func (p *Proxy) admit(r *http.Request, now time.Time) (*call, refusal) {
-	c := &call{r: r, trace: traceOf(r)}
-	t := p.table.Load()
+	c := &call{r: r, trace: traceOf(r), began: now, table: p.table.Load()}
 	if p.leaving.Load() {
 		return c, refusal{kind: kind.Drain}
 	}
-	if t == nil {
+	if c.table == nil {
 		return c, refusal{kind: kind.Config}
 	}
-	svc := t.services[serviceName(r.Host)]
-	if svc == nil {
-		return c, refusal{kind: kind.Service}
-	}
-	c.service = svc
-	route, ok := svc.route(r.Method, r.URL.Path)
-	if !ok {
-		return c, refusal{kind: kind.Route}
+	if k := c.find(); k != kind.None {
+		return c, refusal{kind: k}
 	}
-	c.route = route
+	ok := false
 	c.caller, ok = p.deps.Caller(r.Header)
-	if !ok || !route.Allows(c.caller) {
+	if !ok || !c.route.Allows(c.caller) {
 		return c, refusal{kind: kind.Caller}
 	}
-	c.deadline, ok = deadline(r, route, now)
+	c.deadline, ok = deadline(r, c.route, now)
 	if !ok {
 		return c, refusal{kind: kind.Request}
 	}
-	if len(svc.set) == 0 {
-		return c, refusal{kind: kind.Empty}
+	if len(c.service.set) == 0 {
+		return c, refusal{kind: kind.Empty, after: emptyAfter}
 	}
 	if k := p.readBody(c); k != kind.None {
 		return c, refusal{kind: k}
 	}
-	c.print = claim.Print(svc.Name, r.Method, r.URL.RequestURI(), r.ContentLength, c.body)
+	c.print = claim.Print(c.service.Name, r.Method, r.URL.RequestURI(), r.ContentLength, c.body)
 	if p.deps.Suspicion(c.print) >= peer.HoldAt {
 		return c, refusal{kind: kind.Held}
 	}
 	return c, refusal{}
 }
 
+// find finds the call's route and the service that it goes to: by the entries
+// of its host name, or else by the service that the host name names.
+func (c *call) find() kind.Kind {
+	e, known := c.table.entry(hostName(c.r.Host), c.r.URL.Path)
+	if e != nil {
+		c.entry, c.route, c.service = e.Name, e.Route, e.pick()
+		return kind.None
+	}
+	if known {
+		return kind.Route
+	}
+	c.service = c.table.services[serviceName(c.r.Host)]
+	if c.service == nil {
+		return kind.Service
+	}
+	ok := false
+	c.route, ok = c.service.route(c.r.Method, c.r.URL.Path)
+	if !ok {
+		return kind.Route
+	}
+	return kind.None
+}
+
 // serviceName is the first label of a host name without its port, so that
 // both "orderdesk" and "orderdesk.mesh:8080" name the service orderdesk.
 func serviceName(host string) string {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	name, _, _ := strings.Cut(host, ".")
+	name, _, _ := strings.Cut(hostName(host), ".")
 	return name
 }
 
@@ -282,77 +304,10 @@
 	return hex.EncodeToString(b[:])
 }
 
-func (p *Proxy) fail(w http.ResponseWriter, c *call, k kind.Kind, ran kind.Ran, after int) {
+// fail answers a call that the node itself gives up.
+func (p *Proxy) fail(w http.ResponseWriter, c *call, k kind.Kind, ran kind.Ran, after time.Duration) {
 	p.deps.Metrics.GetOrCreateCounter(`briarrock_failures_total{kind="` + string(k) + `",ran="` + ran.String() + `"}`).Inc()
+	p.tell(c, k, ran, k.Answer().Status, after)
 	w.Header().Set(target.HeaderTrace, c.trace)
-	relay.Fail(w, k, ran, after)
-}
-
-// deadlineSlack leaves the target's node the time to say itself that the
-// deadline has passed, since it knows whether the request was sent.
-const deadlineSlack = 50 * time.Millisecond
-
-// attempt is what one try at a target told.
-type attempt struct {
-	res   *http.Response
-	kind  kind.Kind
-	ran   kind.Ran
-	after int
-	host  string
-	took  time.Duration
-}
-
-// try sends a call to one upstream. A nil res comes with a kind; an answer of
-// a target's node that it is a failure comes with both, its body unread.
-func (p *Proxy) try(c *call, u upstream) attempt {
-	p.attempts.Inc()
-	began := time.Now()
-	body, length := c.payload()
-	res, out := relay.Send(c.r.Context(), relay.Call{
-		In: c.r, URL: relay.Toward(&url.URL{Scheme: p.deps.Scheme, Host: u.addr}, c.r), Host: c.r.Host,
-		Add: c.towardsNode(), Body: body, Length: length, Transport: p.deps.Transport, Stall: p.deps.Stall,
-		Deadline: c.deadline.Add(deadlineSlack), Streamed: c.streamed,
-		Once: c.route.Mode == snapshot.Once,
-	})
-	a := attempt{res: res, host: u.host, kind: out.Kind, took: time.Since(began)}
-	f := Feedback{Load: -1, Took: a.took}
-	if res == nil {
-		a.ran = out.Kind.Answer().Ran
-		if !out.Sent {
-			a.ran = kind.RanNo
-		}
-		f.Failed = out.Kind != kind.Cancel
-		f.Took = 0
-		p.deps.Chooser.done(time.Now(), c.service.Name, u.host, f)
-		return a
-	}
-	if load, err := strconv.ParseFloat(res.Header.Get(target.HeaderLoad), 64); err == nil {
-		f.Load = load
-	}
-	a.ran = kind.ParseRan(res.Header.Get(kind.HeaderRan))
-	a.kind = kind.Kind(res.Header.Get(kind.HeaderKind))
-	a.after, _ = strconv.Atoi(res.Header.Get("Retry-After"))
-	f.Failed = a.kind == kind.Refused || a.kind == kind.Broken || a.kind == kind.Late
-	f.Leaving = a.kind == kind.Drain
-	if a.kind != kind.None {
-		f.Took = 0
-	}
-	p.deps.Chooser.done(time.Now(), c.service.Name, u.host, f)
-	return a
-}
-
-func (c *call) towardsNode() http.Header {
-	h := make(http.Header, 6)
-	h.Set(target.HeaderService, c.service.Name)
-	h.Set(target.HeaderDeadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 0), 10))
-	h.Set(target.HeaderPriority, strconv.Itoa(int(c.route.Priority)))
-	h.Set(target.HeaderPrint, strconv.FormatUint(c.print, 16))
-	h.Set(target.HeaderTrace, c.trace)
-	if c.route.Mode == snapshot.Once {
-		h.Set(target.HeaderOnce, "yes")
-	}
-	if c.caller != "" {
-		h.Set(target.HeaderCaller, c.caller)
-	}
-	return h
+	relay.FailAfter(w, k, ran, after)
 }
--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -2,24 +2,47 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
 
-// How an upstream is chosen.
+// How an upstream is chosen. Costs are in units of a usual request's time.
 const (
-	// farRegion and farDomain are what it costs to go further away, in units
-	// of load: work leaves the own domain when its targets are about this much
-	// more taken.
-	farDomain = 0.3
-	farRegion = 1.0
+	// farDomain and farRegion are what it costs to go further away. Bytes
+	// between domains and regions are billed, so work leaves the own domain
+	// only for a target that is about half a request sooner, and the region
+	// only for one that is more than two sooner.
+	farDomain = 0.5
+	farRegion = 2.5
 	// coldCost keeps a target that has just started from its full share.
 	coldCost = 0.4
 	// loadHalf is the time after which a reported load counts half.
 	loadHalf = 500 * time.Millisecond
-	// slowCost weighs how much slower than its peers an upstream answers.
-	slowCost = 0.05
-	meanPart = 0.2
+	// loadKnee is the load from which on a target is expected to slow down;
+	// below it a request finds a free slot, so load costs next to nothing.
+	loadKnee = 0.75
+	// loadFlat and loadSteep are the costs of load below and above the knee.
+	loadFlat  = 0.1
+	loadSteep = 2.0
+	// failPart is the weight of the newest attempt in the share that fails,
+	// failCost what a target costs whose every attempt fails: more than the
+	// way to another region.
+	failPart = 0.1
+	failCost = 6.0
+	// failHalf is the time after which that share counts half, so that an
+	// upstream which gets no attempts for it is tried again.
+	failHalf = 2 * time.Second
+)
+
+// How silence is found: attempts are under way, and nothing comes back.
+const (
+	// quietTimes is how many times the usual time nothing may come back.
+	quietTimes = 4
+	// quietLeast is the least such time, above the way to another region and
+	// the work of most requests.
+	quietLeast = 250 * time.Millisecond
+	quietCost  = 5.0
 )
 
 // Ejection of upstreams that fail.
@@ -28,6 +51,9 @@
 	ejectAfter = 3
 	ejectFirst = time.Second
 	ejectMost  = 30 * time.Second
+	// unreachedFor is how long an upstream is left alone whose node could not
+	// be connected to: about the time in which a killed process is back.
+	unreachedFor = 500 * time.Millisecond
 	// keepShare is the part of a set that ejection must leave, as 1/keepShare:
 	// when more fails than that, the fault is likely not the targets'.
 	keepShare = 2
@@ -41,10 +67,15 @@
 type Feedback struct {
 	// Load is how taken the target said it is; negative if it didn't.
 	Load float64
-	// Took is how long the answer's head took; 0 if there was none.
-	Took time.Duration
+	// Usual is how long the target's node says that its work takes as a rule;
+	// 0 if it didn't.
+	Usual time.Duration
 	// Failed is set when no answer came from the target's node.
 	Failed bool
+	// Unreached is set when the target's node could not be connected to.
+	Unreached bool
+	// Poor is set for an answer that was a failure of the target.
+	Poor bool
 	// Leaving is set when the target's node said that the target leaves.
 	Leaving bool
 }
@@ -54,18 +85,25 @@
 	inflight int
 	load     float64
 	loadAt   time.Time
-	mean     time.Duration
-	fails    int
-	ejected  int // times in a row
-	until    time.Time
+	// since counts the picks since the load was reported.
+	since int
+	usual time.Duration
+	// quietAt is since when attempts have been under way with nothing back.
+	quietAt time.Time
+	poor    float64 // share of the attempts that failed, at poorAt
+	poorAt  time.Time
+	fails   int
+	ejected int // times in a row
+	until   time.Time
 	// leaving is until when the upstream is left alone since it said that it
 	// leaves; by then the members' records say so too.
 	leaving time.Time
 }
 
-// Chooser picks upstreams: the better of two at random from each of the own
-// domain, the own region and elsewhere, weighed by the load that answers
-// carry, by how far they are and by what is in flight to them from here.
+// Chooser picks upstreams: the cheapest of two at random from each of the own
+// domain, the own region and elsewhere. What counts is the load that answers
+// carry, how long the target's work takes, how far it is, what is in flight to
+// it from here and what came of it.
 // Announced health plays no part; failures are believed only when seen.
 //
 // It is a pure data structure with a lock; times come from its callers.
@@ -94,7 +132,12 @@
 	if !found {
 		return upstream{}, false
 	}
-	c.state(key(service, best.host)).inflight++
+	s := c.state(key(service, best.host))
+	if s.inflight == 0 {
+		s.quietAt = now
+	}
+	s.inflight++
+	s.since++
 	return best, true
 }
 
@@ -114,6 +157,7 @@
 
 func (c *Chooser) best(now time.Time, service string, set []upstream, tried []string) (upstream, bool) {
 	usable := c.usable(now, service, set, tried)
+	unit := c.unit(service, set, usable)
 	var tiers [tierCount][]int
 	for _, i := range usable {
 		t := c.tier(&set[i])
@@ -122,7 +166,7 @@
 	best, found, least := 0, false, 0.0
 	for t, list := range tiers {
 		for _, i := range c.two(list) {
-			cost := c.cost(now, service, &set[i]) + [tierCount]float64{0, farDomain, farRegion}[t]
+			cost := c.cost(now, service, &set[i], unit) + [tierCount]float64{0, farDomain, farRegion}[t]
 			if !found || cost < least {
 				best, found, least = i, true, cost
 			}
@@ -134,6 +178,22 @@
 	return set[best], true
 }
 
+// unit is the time that a request takes as a rule at the service: the median
+// of what its usable upstreams say, 0 if none has.
+func (c *Chooser) unit(service string, set []upstream, usable []int) time.Duration {
+	var known []time.Duration
+	for _, i := range usable {
+		if s := c.states[key(service, set[i].host)]; s != nil && s.usual > 0 {
+			known = append(known, s.usual)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[len(known)/2]
+}
+
 // two draws up to two different elements.
 func (c *Chooser) two(list []int) []int {
 	if len(list) <= 2 {
@@ -153,7 +213,7 @@
 func (c *Chooser) usable(now time.Time, service string, set []upstream, tried []string) []int {
 	var sound, rest []int
 	for i := range set {
-		if contains(tried, set[i].host) {
+		if slices.Contains(tried, set[i].host) {
 			continue
 		}
 		s := c.states[key(service, set[i].host)]
@@ -171,16 +231,9 @@
 	return sound
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *Chooser) cost(now time.Time, service string, u *upstream) float64 {
+// cost is what a request at an upstream is expected to cost, its distance
+// aside, in units of the service's usual time.
+func (c *Chooser) cost(now time.Time, service string, u *upstream, unit time.Duration) float64 {
 	cost := 0.0
 	if u.cold {
 		cost += coldCost
@@ -189,13 +242,42 @@
 	if s == nil {
 		return cost
 	}
-	halves := float64(now.Sub(s.loadAt)) / float64(loadHalf)
-	cost += s.load / (1 + halves)
-	cost += float64(s.inflight) / float64(max(u.slots, 1))
-	cost += slowCost * s.mean.Seconds() * float64(s.inflight+1)
+	pace := 1.0
+	if unit > 0 && s.usual > 0 {
+		pace = float64(s.usual) / float64(unit)
+	}
+	load := s.expected(now, u.slots)
+	wait := loadFlat * load
+	if load > loadKnee {
+		wait += loadSteep * (load - loadKnee)
+	}
+	cost += pace*(1+wait) - 1
+	poor := s.poorNow(now)
+	cost += failCost * poor * poor
+	if s.quiet(now) {
+		cost += quietCost
+	}
 	return cost
 }
 
+// expected is the load that an upstream is expected to have: what it reported
+// last, fading with age, and what has been sent to it since.
+func (s *state) expected(now time.Time, slots int) float64 {
+	slots = max(slots, 1)
+	halves := float64(now.Sub(s.loadAt)) / float64(loadHalf)
+	own := float64(s.inflight) / float64(slots)
+	reported := s.load/(1+halves) + float64(min(s.since, s.inflight))/float64(slots)
+	return max(own, reported)
+}
+
+// quiet tells whether several attempts have been under way for long with
+// nothing back: the node or its target has stopped, or can't be reached, and
+// no error says so.
+func (s *state) quiet(now time.Time) bool {
+	const attempts = 2 // one alone may just be long work
+	return s.inflight >= attempts && now.Sub(s.quietAt) > max(quietLeast, quietTimes*s.usual)
+}
+
 func key(service, host string) string { return service + "\x00" + host }
 
 func (c *Chooser) state(k string) *state {
@@ -226,16 +308,13 @@
 	defer c.mu.Unlock()
 	s := c.state(key(service, host))
 	s.inflight = max(0, s.inflight-1)
-	if f.Load >= 0 {
-		s.load = f.Load
-		s.loadAt = now
-	}
-	if f.Took > 0 {
-		s.mean += time.Duration(meanPart * float64(f.Took-s.mean))
-	}
+	s.told(now, f)
 	if f.Leaving {
 		s.leaving = now.Add(leavingFor)
 	}
+	if f.Unreached {
+		s.until = later(s.until, now.Add(unreachedFor))
+	}
 	if !f.Failed {
 		s.fails, s.ejected = 0, 0
 		return
@@ -249,6 +328,40 @@
 	s.ejected++
 }
 
+// told takes the figures of an attempt.
+func (s *state) told(now time.Time, f Feedback) {
+	if f.Load >= 0 {
+		s.load = f.Load
+		s.loadAt = now
+		s.since = 0
+	}
+	if f.Usual > 0 {
+		s.usual = f.Usual
+	}
+	if !f.Failed {
+		s.quietAt = now
+	}
+	bad := 0.0
+	if f.Failed || f.Poor {
+		bad = 1
+	}
+	poor := s.poorNow(now)
+	s.poor = poor + failPart*(bad-poor)
+	s.poorAt = now
+}
+
+// poorNow is the share of the attempts that failed, fading with age.
+func (s *state) poorNow(now time.Time) float64 {
+	return s.poor / (1 + float64(now.Sub(s.poorAt))/float64(failHalf))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Ejected returns how many upstreams are ejected now.
 func (c *Chooser) Ejected(now time.Time) int {
 	c.mu.Lock()
--- a/briarrockd/caller/retry.go
+++ b/briarrockd/caller/retry.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -12,23 +13,39 @@
 	"briarrock.example/mesh/snapshot"
 )
 
+const (
+	// maxMoves is how many refusals by targets' nodes are followed by another
+	// choice. Each costs a way there and back and no work at any target; where
+	// so many refuse, the service has no room, and the caller is told so.
+	maxMoves = 3
+	// leastLeft is the time below which an attempt is not worth making.
+	leastLeft = 5 * time.Millisecond
+)
+
 // mayRetry decides whether a failed attempt may be followed by another one.
 //
 // A request that provably did not run may always be sent again; one that may
 // have run only if its route says that it may be repeated. A target's own
 // answer is never retried, whatever its status: it ran, and in a chain of
-// services each link's retries would multiply with those of the next.
+// services each link's retries would multiply with those of the next. Where
+// the operator wants it nevertheless, mayRepeat decides.
 func mayRetry(k kind.Kind, ran kind.Ran, mode snapshot.Mode, replayable bool) bool {
 	if !replayable {
 		return false
 	}
 	switch k {
-	case kind.None, kind.Cancel, kind.Held, kind.Deadline, kind.Request, kind.Limit, kind.Stall:
+	case kind.None, kind.Cancel, kind.Held, kind.Deadline, kind.Request, kind.Large, kind.Limit, kind.Stall:
 		return false
 	}
 	return ran == kind.RanNo || mode == snapshot.Repeatable
 }
 
+// mayRepeat decides whether a request may run again after its target answered
+// that it failed.
+func mayRepeat(r *snapshot.Route, replayable bool) bool {
+	return r.Again && r.Mode == snapshot.Repeatable && replayable
+}
+
 // replayable tells whether the body can still be sent from its start.
 func (c *call) replayable() bool { return !c.streamed || !c.begun.read.Load() }
 
@@ -36,6 +53,7 @@
 // the final answer as soon as that is known, however much time is left.
 func (p *Proxy) send(w http.ResponseWriter, c *call) {
 	a := p.attemptAll(c)
+	defer a.done()
 	if a.res == nil {
 		p.fail(w, c, a.kind, a.ran, a.after)
 		return
@@ -43,52 +61,202 @@
 	p.answer(w, c, a, nil)
 }
 
-// attemptAll runs the loop of attempts and returns the last one.
+// race is the attempts of one call that are under way.
+type race struct {
+	p       *Proxy
+	c       *call
+	results chan attempt
+	under   int // attempts that have not ended
+	tried   []string
+	reached int // attempts that got to a target
+	moves   int // attempts that a target's node refused
+	hedged  bool
+	// sent is set when an earlier attempt may have run.
+	sent bool
+	// after is the soonest time to come back that any refusal named.
+	after time.Duration
+}
+
+// attemptAll makes attempts until one is final, and returns that one.
 func (p *Proxy) attemptAll(c *call) attempt {
 	p.deps.Budget.call(c.service.Name)
-	var tried []string
-	last := attempt{kind: kind.Empty, ran: kind.RanNo}
-	for n := 0; ; n++ {
-		u, ok := p.deps.Chooser.pick(time.Now(), c.service.Name, c.service.set, tried)
-		if !ok {
-			return last
+	x := &race{p: p, c: c, results: make(chan attempt, maxMoves+c.route.Retries+2)}
+	if !x.start("to") {
+		return attempt{kind: kind.Empty, ran: kind.RanNo, after: emptyAfter}
+	}
+	hedge := x.hedgeTimer()
+	defer hedge.Stop()
+	for {
+		select {
+		case a := <-x.results:
+			x.under--
+			if x.settles(&a) {
+				return a
+			}
+		case <-hedge.C:
+			x.hedge()
 		}
-		tried = append(tried, u.host)
-		a := p.try(c, u)
-		worst := worse(last, a, n)
-		if a.res != nil && a.kind == kind.None {
-			return a
+	}
+}
+
+// start begins an attempt at another upstream; false if there is none left.
+func (x *race) start(what string) bool {
+	u, ok := x.p.deps.Chooser.pick(time.Now(), x.c.service.Name, x.c.service.set, x.tried)
+	if !ok {
+		return false
+	}
+	x.tried = append(x.tried, u.host)
+	x.c.story.step(what, u.host, kind.None)
+	x.under++
+	// The attempt ends with the caller, but not with this race: one that lost
+	// it may be at work, and breaking that off would only waste it.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(x.c.r.Context()))
+	stop := context.AfterFunc(x.c.r.Context(), cancel)
+	go func() {
+		a := x.p.try(ctx, x.c, u)
+		a.cancel = func() { stop(); cancel() }
+		x.results <- a
+	}()
+	return true
+}
+
+// settles takes the end of an attempt and decides whether it is the call's:
+// if not, another one is under way.
+func (x *race) settles(a *attempt) bool {
+	c := x.c
+	if a.reached {
+		x.reached++
+	} else {
+		x.moves++
+	}
+	if a.kind != kind.None || a.failure() {
+		c.story.step("got", a.host, a.kind)
+	}
+	if a.kind == kind.None && a.res != nil && !a.failure() {
+		x.leave()
+		return true
+	}
+	if a.after > 0 && (x.after == 0 || a.after < x.after) {
+		x.after = a.after
+	}
+	if x.mayGoOn(a) && x.start("again") {
+		x.drop(a)
+		return false
+	}
+	if x.under > 0 {
+		x.drop(a)
+		return false
+	}
+	if a.kind != kind.None {
+		x.drop(a)
+		a.ran = x.worse(a.ran)
+		if a.ran == kind.RanNo {
+			a.after = x.after
 		}
-		again := n < c.route.Retries && c.deadline.After(time.Now()) &&
-			mayRetry(a.kind, a.ran, c.route.Mode, c.replayable()) && p.affords(c, a.kind)
-		discard(a.res)
-		a.res = nil
-		a.ran = worst
-		if !again {
-			return a
+	}
+	return true
+}
+
+// leave lets the attempts that lost run to their end, and reads their answers.
+func (x *race) leave() {
+	if x.under == 0 {
+		return
+	}
+	left := x.under
+	go func() {
+		for range left {
+			a := <-x.results
+			discard(a.res)
+			a.done()
 		}
-		last = a
+	}()
+}
+
+// drop ends an attempt that is not the call's, and remembers whether it may
+// have run.
+func (x *race) drop(a *attempt) {
+	x.sent = x.sent || a.ran != kind.RanNo
+	discard(a.res)
+	a.res = nil
+	a.done()
+}
+
+// done frees what the attempt holds.
+func (a *attempt) done() {
+	if a.cancel != nil {
+		a.cancel()
 	}
 }
 
-// affords takes a retry out of the budget. One after the refusal of a target
-// that leaves is free: nothing ran, the upstream is not asked again, and a
-// planned stop must not fail calls because it met many of them at once.
-func (p *Proxy) affords(c *call, k kind.Kind) bool {
-	return k == kind.Drain || p.deps.Budget.retry(c.service.Name)
+// mayGoOn decides whether another attempt follows one that failed.
+func (x *race) mayGoOn(a *attempt) bool {
+	c := x.c
+	if time.Until(c.deadline) < leastLeft || c.route.Retries == 0 || c.r.Context().Err() != nil {
+		return false
+	}
+	if a.failure() {
+		return mayRepeat(&c.route, c.replayable()) && x.affordsRun()
+	}
+	if !mayRetry(a.kind, a.ran, c.route.Mode, c.replayable()) {
+		return false
+	}
+	if a.reached {
+		return x.affordsRun()
+	}
+	// Nothing reached a target, so no target's work is at stake: another
+	// choice is free, and what bounds it is the time that it takes.
+	return x.moves <= maxMoves
+}
+
+// affordsRun takes another run at a target out of the route's retries and the
+// service's budget.
+func (x *race) affordsRun() bool {
+	return x.reached <= x.c.route.Retries && x.p.deps.Budget.retry(x.c.service.Name)
 }
 
 // worse is what is to be said of a call after several attempts: it did not
 // run only if none of them did.
-func worse(last, now attempt, n int) kind.Ran {
-	if n > 0 && last.ran != kind.RanNo {
+func (x *race) worse(now kind.Ran) kind.Ran {
+	if x.sent && now == kind.RanNo {
 		return kind.RanUnknown
 	}
-	return now.ran
+	return now
+}
+
+// hedgeShare is the part of the time that the route aims at, or else of its
+// deadline, after which a second target is asked as well. Most work ends well
+// before; an answer that was lost, or a target that has stopped, costs the
+// caller this long and not its whole deadline.
+const (
+	hedgeAim      = 0.6
+	hedgeDeadline = 0.4
+)
+
+// hedgeTimer fires when the first attempt has taken unusually long. Where the
+// request must not run twice it never does.
+func (x *race) hedgeTimer() *time.Timer {
+	c := x.c
+	d := time.Duration(hedgeAim * float64(c.route.Aim))
+	if d == 0 {
+		d = time.Duration(hedgeDeadline * float64(c.route.Deadline))
+	}
+	t := time.NewTimer(d)
+	if !x.p.deps.Hedge || c.route.Mode != snapshot.Repeatable || c.streamed || c.route.Retries == 0 {
+		t.Stop()
+	}
+	return t
+}
+
+func (x *race) hedge() {
+	if x.hedged || x.under == 0 || x.reached >= x.c.route.Retries || !x.p.deps.Budget.hedge(x.c.service.Name) {
+		return
+	}
+	x.hedged = true
+	x.start("hedge")
 }
 
 // maxDiscard bounds what is read of a failure's body to keep its connection.
-const maxDiscard = 4 << 10
+const maxDiscard = 64 << 10
 
 func discard(res *http.Response) {
 	if res == nil {
@@ -100,6 +268,7 @@
 
 // answer passes a target's answer on. keep, if any, gets a copy of it.
 func (p *Proxy) answer(w http.ResponseWriter, c *call, a attempt, keep *keeper) {
+	p.tell(c, kind.None, a.ran, a.res.StatusCode, 0)
 	h := w.Header()
 	h.Set(target.HeaderTrace, c.trace)
 	h.Set(kind.HeaderRan, a.ran.String())
@@ -137,6 +306,7 @@
 
 func (p *Proxy) runOnce(w http.ResponseWriter, c *call) {
 	a := p.attemptAll(c)
+	defer a.done()
 	if a.res == nil {
 		if a.ran == kind.RanNo {
 			p.deps.Claims.Release(c.claim)
@@ -148,7 +318,6 @@
 	p.answer(w, c, a, keep)
 	p.deps.Claims.Finish(c.claim, keep.outcome())
 }
-
 func (p *Proxy) replay(w http.ResponseWriter, c *call, o claim.Outcome) {
 	h := w.Header()
 	h.Set(target.HeaderTrace, c.trace)
--- /dev/null
+++ b/briarrockd/caller/story.go
@@ -0,0 +1,60 @@
+package caller
+
+import (
+	"strings"
+	"time"
+
+	"briarrock.example/mesh/event"
+	"briarrock.example/mesh/kind"
+)
+
+// story is what is told of a call in the log: the decisions along its way.
+type story struct {
+	steps []string
+	plain bool
+}
+
+// step notes a decision. Most calls have one; the slice stays small.
+func (s *story) step(what, host string, k kind.Kind) {
+	line := what + " " + host
+	if k != kind.None {
+		line += " " + string(k)
+	}
+	s.steps = append(s.steps, line)
+}
+
+// tell writes the one line of a call: its name, what was known when it was
+// decided on and how old that was, and what came of it. Calls that went as
+// planned are the first to be left out when there are too many lines.
+func (p *Proxy) tell(c *call, k kind.Kind, ran kind.Ran, status int, after time.Duration) {
+	f := event.Fields{"trace": c.trace, "status": status, "ms": time.Since(c.began).Milliseconds()}
+	if c.table != nil {
+		f["version"] = c.table.version
+		f["tableage"] = time.Since(c.table.madeAt).Milliseconds()
+	}
+	if c.service != nil {
+		f["service"] = c.service.Name
+		f["upstreams"] = len(c.service.set)
+	}
+	if c.entry != "" {
+		f["entry"] = c.entry
+	}
+	if len(c.story.steps) > 0 {
+		f["way"] = strings.Join(c.story.steps, ", ")
+	}
+	if !c.deadline.IsZero() {
+		f["left"] = time.Until(c.deadline).Milliseconds()
+	}
+	plain := k == kind.None && len(c.story.steps) <= 1
+	if k != kind.None {
+		f["kind"], f["ran"] = string(k), ran.String()
+	}
+	if after > 0 {
+		f["after"] = after.Milliseconds()
+	}
+	e := event.CallAnswered
+	if k != kind.None {
+		e = event.CallGivenUp
+	}
+	p.deps.Log.Call(e, f, plain)
+}
--- a/briarrockd/caller/table.go
+++ b/briarrockd/caller/table.go
@@ -1,8 +1,12 @@
 package caller
 
 import (
+	"math/rand/v2"
+	"net"
 	"slices"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	"briarrock.example/briarrockd/peer"
 	"briarrock.example/mesh/snapshot"
@@ -14,7 +18,11 @@
 // began with, so that no call sees half of a change.
 type Table struct {
 	version  uint64
+	madeAt   time.Time
 	services map[string]*service
+	// hosts are the entries by host name, longest prefix first.
+	hosts  map[string][]*entry
+	limits snapshot.Limits
 }
 
 // service is one service of a table. Its set is never nil: a route whose
@@ -35,24 +43,56 @@
 	cold   bool
 }
 
+// entry is one entry of a table with the services that it leads to.
+type entry struct {
+	*snapshot.Entry
+	services []*service
+	total    int
+	// turn counts the entry's requests, from a random start.
+	turn atomic.Uint64
+}
+
 // Version is the version that the table was made from.
 func (t *Table) Version() uint64 { return t.version }
 
+// Limits are the bounds for callers.
+func (t *Table) Limits() snapshot.Limits { return t.limits }
+
 // NewTable joins a version and the members into a table. A target of a
 // service that the version doesn't list is left out, a listed service without
 // open target gets an empty set.
 func NewTable(version uint64, s *snapshot.Snapshot, members []peer.Member) *Table {
-	t := &Table{version: version, services: make(map[string]*service, len(s.Services))}
+	t := &Table{
+		version: version, madeAt: time.Now(), limits: s.Limits,
+		services: make(map[string]*service, len(s.Services)),
+		hosts:    make(map[string][]*entry),
+	}
 	for i := range s.Services {
 		svc := &s.Services[i]
 		t.services[svc.Name] = &service{Service: svc, routes: byLength(svc.Routes), set: []upstream{}}
 	}
+	for i := range s.Entries {
+		t.enter(&s.Entries[i])
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b *entry) int { return len(b.Route.Path) - len(a.Route.Path) })
+	}
 	for i := range members {
 		t.add(&members[i])
 	}
 	return t
 }
 
+func (t *Table) enter(e *snapshot.Entry) {
+	x := &entry{Entry: e}
+	for _, p := range e.Parts {
+		x.services = append(x.services, t.services[p.Service])
+		x.total += p.Weight
+	}
+	x.turn.Store(rand.Uint64())
+	t.hosts[e.Host] = append(t.hosts[e.Host], x)
+}
+
 func (t *Table) add(m *peer.Member) {
 	if m.State != peer.Alive {
 		return
@@ -75,6 +115,44 @@
 	return out
 }
 
+// entry finds the entry for a host and a path: the longest prefix. known tells
+// whether the host has any entry.
+func (t *Table) entry(host, path string) (e *entry, known bool) {
+	list, known := t.hosts[host]
+	for _, x := range list {
+		if strings.HasPrefix(path, x.Route.Path) {
+			return x, true
+		}
+	}
+	return nil, known
+}
+
+// golden is the golden ratio's fraction in 64 bits. Its multiples fall evenly
+// into the range, so that each part gets its share within a few requests and
+// not only on the average of many.
+const golden = 0x9E3779B97F4A7C15
+
+// pick chooses one of the entry's services by weight.
+func (x *entry) pick() *service {
+	at := x.turn.Add(1) * golden
+	place := int(at >> 32 * uint64(x.total) >> 32)
+	for i, p := range x.Parts {
+		if place < p.Weight {
+			return x.services[i]
+		}
+		place -= p.Weight
+	}
+	return x.services[len(x.services)-1]
+}
+
+// hostName is a Host header without its port.
+func hostName(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		return h
+	}
+	return host
+}
+
 // route finds the route for a method and path: the longest path that is a
 // prefix by whole segments, and among equals one that names the method.
 func (s *service) route(method, path string) (snapshot.Route, bool) {
--- a/briarrockd/node/http.go
+++ b/briarrockd/node/http.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
 
+	"briarrock.example/briarrockd/http1"
 	"briarrock.example/briarrockd/keys"
 	"briarrock.example/briarrockd/peer"
 	"briarrock.example/briarrockd/relay"
@@ -28,7 +30,11 @@
 	// call must not lose its deadline to a domain that is cut off.
 	dialTimeout = 500 * time.Millisecond
 	idleConns   = 64
-	maxStreams  = 1000
+	// peerIdle is how long a connection to another node is kept: long enough to
+	// outlast a lull, short enough that its buffers don't stay for good after a
+	// rush. The other side keeps it for idleTimeout, so this side closes first.
+	peerIdle   = 20 * time.Second
+	maxStreams = 1000
 	// pingAfter and pingWithin find a connection that has gone silent: within
 	// two seconds of its last byte it is closed and a new one is opened.
 	pingAfter  = time.Second
@@ -58,6 +64,44 @@
 	}
 }
 
+// server is what a node needs of its servers, whichever made them.
+type server interface {
+	// Drain tells callers, with each answer, to open no more requests here.
+	Drain()
+	// Shutdown lets what is under way end, until ctx does.
+	Shutdown(ctx context.Context)
+	// Close ends everything at once.
+	Close()
+}
+
+// netServer is a server of net/http.
+type netServer struct{ s *http.Server }
+
+// Drain implements server.
+func (s netServer) Drain() { s.s.SetKeepAlivesEnabled(false) }
+
+// Shutdown implements server.
+func (s netServer) Shutdown(ctx context.Context) { _ = s.s.Shutdown(ctx) } // it fails only with ctx
+
+// Close implements server.
+func (s netServer) Close() { _ = s.s.Close() } // the listener's error is of no use here
+
+// transport is what a node needs of its connections to other nodes.
+type transport interface {
+	http.RoundTripper
+	CloseIdleConnections()
+}
+
+// serveHTTP1 runs one of this project's own servers.
+func (n *Node) serveHTTP1(name string, cfg http1.ServerConfig) {
+	cfg.MaxConns = maxConns[name]
+	cfg.Panicked = n.panicked
+	s := http1.NewServer(cfg)
+	n.servers = append(n.servers, s)
+	l := n.listeners[name]
+	n.wg.Go(func() { _ = s.Serve(l) }) // it ends by being closed
+}
+
 // serve runs an HTTP server on one of the node's listeners.
 func (n *Node) serve(name string, h http.Handler, conf *tls.Config) {
 	s := &http.Server{
@@ -70,8 +114,8 @@
 		TLSConfig:         conf,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
-	n.servers = append(n.servers, s)
-	l := n.listeners[name]
+	n.servers = append(n.servers, netServer{s})
+	l := netutil.LimitListener(n.listeners[name], maxConns[name])
 	n.wg.Go(func() {
 		if conf != nil {
 			_ = s.ServeTLS(l, "", "")
@@ -115,34 +159,40 @@
 
 // newTransport makes the connections to other nodes. HTTP/2 is used for its
 // pings: a connection that has gone silent is found while calls wait on it.
-func (n *Node) newTransport(http1 bool, open relay.DialFunc) *http.Transport {
+func (n *Node) newTransport(own bool, open relay.DialFunc) transport {
 	dial := relay.Dialer(dialTimeout, open)
+	if own && n.keys == nil {
+		if open == nil {
+			dial = relay.Dialer(dialTimeout, http1.Dialer(dialTimeout))
+		}
+		return http1.NewPool(http1.PoolConfig{Dial: dial, Idle: peerIdle})
+	}
 	t := &http.Transport{
 		DialContext:            dial,
 		MaxIdleConnsPerHost:    idleConns,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeader,
-		Protocols:              protocols(http1, !http1),
+		Protocols:              protocols(own, !own),
 		HTTP2:                  http2Config(),
 	}
-	if http1 {
+	if own {
 		t.Protocols.SetHTTP2(false)
 	}
 	if n.keys != nil {
-		t.DialTLSContext = n.dialTLS(dial, http1)
+		t.DialTLSContext = n.dialTLS(dial, own)
 	}
 	return t
 }
 
-func (n *Node) dialTLS(dial relay.DialFunc, http1 bool) relay.DialFunc {
+func (n *Node) dialTLS(dial relay.DialFunc, own bool) relay.DialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		raw, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
 		conf := n.keys.Client()
-		if !http1 {
+		if !own {
 			conf.NextProtos = []string{"h2"}
 		}
 		c := tls.Client(raw, conf)
@@ -157,6 +207,9 @@
 // callerName returns how callers are known: by a token, where the settings
 // list them, or else by what they call themselves.
 func (n *Node) callerName() func(h http.Header) (string, bool) {
+	if name := n.platform.Caller; name != "" {
+		return func(http.Header) (string, bool) { return name, true }
+	}
 	if len(n.cfg.Callers) == 0 {
 		return func(h http.Header) (string, bool) { return h.Get(target.HeaderCaller), true }
 	}
--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -22,10 +22,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
-	"golang.org/x/net/netutil"
 
 	"briarrock.example/briarrockd/caller"
 	"briarrock.example/briarrockd/claim"
+	"briarrock.example/briarrockd/http1"
 	"briarrock.example/briarrockd/keys"
 	"briarrock.example/briarrockd/operator"
 	"briarrock.example/briarrockd/peer"
@@ -42,15 +42,50 @@
 	Log *event.Log
 	// Store, if set, is used instead of the one in the settings.
 	Store platform.Store
-	// HTTP1 uses HTTP/1.1 between nodes instead of HTTP/2; it is there to
-	// measure the two.
+	// HTTP1 uses this project's HTTP/1.1 between nodes and towards callers,
+	// instead of net/http's servers and HTTP/2.
 	HTTP1 bool
+	// Platform, if set, makes the node one of a platform with protocols of its
+	// own.
+	Platform *Platform
 	// Dial, if set, opens the connections to peers and to the platform.
 	Dial relay.DialFunc
 	// Used, if set, is told of each version that callers are served by.
 	Used func(version uint64)
 }
 
+// Platform is what a platform's adapter brings along: translations at the
+// node's edges. Fields that are nil leave the edge as it is.
+type Platform struct {
+	// Watch tells of each version that the platform holds, until ctx ends. The
+	// node then reads no versions by itself.
+	Watch func(ctx context.Context, tell func(Version))
+	// Callers wraps the handler of callers' requests.
+	Callers func(http.Handler) http.Handler
+	// Targets wraps the connections to targets.
+	Targets func(http.RoundTripper) http.RoundTripper
+	// Belongs tells whether a target's answer is the one to a request.
+	Belongs func(req *http.Request, res *http.Response) bool
+	// Announcements makes the handler of targets' announcements.
+	Announcements func(*target.Targets) http.Handler
+	// Caller is the name of all callers at this node; empty if they name
+	// themselves.
+	Caller string
+	// Silent is how long a target may be silent before it is taken for gone.
+	Silent time.Duration
+	// Lame is how long a stopping node still serves its callers, until they
+	// have been sent elsewhere; 0 for the usual time.
+	Lame time.Duration
+	// Retries is how many retries all nodes together may have saved up.
+	Retries float64
+}
+
+// Version is one version of the configuration as the platform holds it.
+type Version struct {
+	Number   uint64
+	Snapshot *snapshot.Snapshot
+}
+
 // Node is one running node. New makes one.
 type Node struct {
 	cfg     settings.Settings
@@ -64,8 +99,10 @@
 	claims    *claim.Claims
 	operators *operator.Interface
 	listeners map[string]net.Listener
-	servers   []*http.Server
-	transport *http.Transport
+	servers   []server
+	transport transport
+	budget    *caller.Budget
+	platform  Platform
 	wg        sync.WaitGroup
 
 	// mu guards what the next table is made of.
@@ -105,6 +142,9 @@
 		st = platform.NewHTTP(storeClient(d.Dial), cfg.Platform.URL, cfg.Platform.Token)
 	}
 	n.used = d.Used
+	if d.Platform != nil {
+		n.platform = *d.Platform
+	}
 	n.start(st, d)
 	n.log.Emit(event.Started, event.Fields{"domain": cfg.Domain, "region": cfg.Region, "caller": cfg.Caller, "plain": cfg.Security.Plain})
 	return n, nil
@@ -149,11 +189,11 @@
 		callers: &n.cfg.Caller, calls: &n.cfg.Call, peers: &n.cfg.Peer,
 		operators: &n.cfg.Operator, announce: &n.cfg.Announce,
 	} {
-		l, err := net.Listen("tcp", *addr)
+		l, err := http1.ListenConfig().Listen(context.Background(), "tcp", *addr)
 		if err != nil {
 			return errors.Wrapf(err, "node: %s address", name)
 		}
-		n.listeners[name] = netutil.LimitListener(l, maxConns[name])
+		n.listeners[name] = l
 		*addr = l.Addr().String() // port 0 has become a real one
 	}
 	return nil
@@ -171,14 +211,17 @@
 		Crashed:   func(c peer.Crashed) { n.tell(c) },
 		Suspicion: n.suspicion,
 		Log:       n.log, Metrics: n.metrics, Stall: n.cfg.Stall,
+		Dialect: n.platform.Targets, Belongs: n.platform.Belongs, Silent: n.platform.Silent,
 	})
 	n.claims = claim.New(claim.Deps{Store: st, Log: n.log, Host: n.cfg.Host, Metrics: n.metrics, Forward: n.handClaims})
 	n.transport = n.newTransport(d.HTTP1, d.Dial)
+	n.budget = caller.NewBudget()
 	n.proxy = caller.New(caller.Deps{
 		Chooser: caller.NewChooser(n.cfg.Domain, n.cfg.Region, rand.Uint64()),
-		Budget:  caller.NewBudget(), Claims: n.claims,
+		Budget:  n.budget, Claims: n.claims,
 		Transport: n.transport, Scheme: n.scheme(), Suspicion: n.suspicion,
 		Caller: n.callerName(), Log: n.log, Metrics: n.metrics, Stall: n.cfg.Stall,
+		Hedge: d.Platform != nil,
 	})
 	n.peers = peer.NewLinks(n.peerConfig(), peer.Deps{
 		Store: st, Log: n.log, Metrics: n.metrics, Keys: n.peerKeys(), Listener: n.listeners[peers], Seed: rand.Uint64(),
@@ -193,10 +236,55 @@
 	n.wg.Go(n.keepClaims)
 	n.metrics.GetOrCreateGauge("briarrock_version", func() float64 { return float64(n.Version()) })
 	n.metrics.GetOrCreateGauge("briarrock_members", func() float64 { return float64(n.Known()) })
-	n.serve(callers, n.proxy, nil)
-	n.serve(calls, n.onlyPeers(n.targets), n.serverKeys())
+	n.serveAll(d)
+	if watch := n.platform.Watch; watch != nil {
+		n.wg.Go(func() { watch(n.ctx, n.offer) })
+	}
+}
+
+// serveAll starts the servers.
+func (n *Node) serveAll(d Deps) {
+	plain := d.HTTP1 && n.keys == nil
+	var fromCallers http.Handler = n.proxy
+	if n.platform.Callers != nil {
+		fromCallers = n.platform.Callers(n.proxy)
+	}
+	announcements := n.targets.Announcements()
+	if n.platform.Announcements != nil {
+		announcements = n.platform.Announcements(n.targets)
+	}
+	if plain {
+		n.serveHTTP1(callers, http1.ServerConfig{Handler: fromCallers, Limits: n.limits})
+		n.serveHTTP1(calls, http1.ServerConfig{Handler: n.targets})
+		n.serveHTTP1(announce, http1.ServerConfig{Handler: announcements})
+	} else {
+		n.serve(callers, fromCallers, nil)
+		n.serve(calls, n.onlyPeers(n.targets), n.serverKeys())
+		n.serve(announce, announcements, nil)
+	}
 	n.serve(operators, n.operators, n.serverKeys())
-	n.serve(announce, n.targets.Announcements(), nil)
+}
+
+// limits are the bounds for callers of the version in use.
+func (n *Node) limits() snapshot.Limits {
+	if t := n.proxy.Table(); t != nil {
+		return t.Limits()
+	}
+	return snapshot.Limits{}
+}
+
+func (n *Node) panicked(v any, stack []byte) {
+	n.log.Emit(event.Panicked, event.Fields{"panic": v, "stack": string(stack)})
+}
+
+// offer takes a version from the platform's watch.
+func (n *Node) offer(v Version) {
+	b, err := snapshot.Encode(v.Snapshot)
+	if err != nil {
+		n.log.Emit(event.VersionRefused, event.Fields{event.Subject: "platform", "version": v.Number, "error": err.Error()})
+		return
+	}
+	n.tell(peer.Committed{Version: v.Number, Hash: snapshot.Sum(b), Content: b})
 }
 
 // handClaims passes claims on to the node that gathers those of the domain.
@@ -235,6 +323,7 @@
 		Contacts:    n.cfg.Contacts,
 		StoreRegion: n.cfg.Platform.Region,
 		Hosts:       n.cfg.Hosts,
+		HeadFed:     n.platform.Watch != nil,
 	}
 }
 
@@ -255,6 +344,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.members = p.Members
+	if n.platform.Retries > 0 {
+		n.budget.Share(n.platform.Retries, len(p.Members))
+	}
 	n.retable()
 }
 
@@ -322,11 +414,14 @@
 	n.leaving.Store(true)
 	n.targets.Drain()
 	n.peers.Tell(peer.Leave{})
-	pause(ctx, lame)
+	for _, s := range n.servers {
+		s.Drain()
+	}
+	pause(ctx, max(lame, n.platform.Lame))
 	n.proxy.Leave()
 	var wg sync.WaitGroup
 	for _, s := range n.servers {
-		wg.Go(func() { _ = s.Shutdown(ctx) })
+		wg.Go(func() { s.Shutdown(ctx) })
 	}
 	wg.Wait()
 	n.end()
@@ -370,7 +465,7 @@
 func (n *Node) endOnce() {
 	n.cancel()
 	for _, s := range n.servers {
-		_ = s.Close()
+		s.Close()
 	}
 	n.operators.Close()
 	n.claims.Close()
--- a/briarrockd/peer/contact.go
+++ b/briarrockd/peer/contact.go
@@ -14,11 +14,13 @@
 	keptContacts = 4
 	// contactsEvery is how often the root of a domain looks whether the row
 	// still names the right addresses, and writes it if not.
-	contactsEvery = time.Minute
-	// aloneFor is how long a node is without any link before it reads the rows,
-	// and contactsAgain how long after that it reads them again.
-	aloneFor      = 3 * time.Second
-	contactsAgain = 15 * time.Second
+	contactsEvery = 20 * time.Second
+	// aloneFor is how long a node is without any link before it reads the rows;
+	// one that was given no contacts reads them at once. contactsAgain is how
+	// long after that it reads them again, at first and at most.
+	aloneFor          = 3 * time.Second
+	contactsAgain     = 2 * time.Second
+	contactsAgainMost = 15 * time.Second
 	// maxContacts bounds what is taken from the table.
 	maxContacts = 256
 )
@@ -30,6 +32,10 @@
 	readAt  time.Time
 	alone   time.Time
 	addrs   []string
+	// reads counts the reads since the node was last linked, and came is set
+	// once one has been answered.
+	reads int
+	came  bool
 }
 
 func (h *Heart) tickContacts() {
@@ -39,24 +45,31 @@
 	h.leaveContacts()
 	if len(h.links) > 0 {
 		h.stored.alone = time.Time{}
+		h.stored.reads = 0
 		return
 	}
 	if h.stored.alone.IsZero() {
 		h.stored.alone = h.now.Add(h.jitter(aloneFor))
+		if len(h.cfg.Contacts) == 0 {
+			h.stored.alone = h.now.Add(h.jitter(joinSpread) - aloneFor)
+		}
 		return
 	}
-	if h.now.Sub(h.stored.alone) < aloneFor || h.now.Sub(h.stored.readAt) < contactsAgain {
+	again := min(contactsAgain<<min(h.stored.reads, 3), contactsAgainMost)
+	if h.now.Sub(h.stored.alone) < aloneFor || h.now.Sub(h.stored.readAt) < again {
 		return
 	}
 	h.stored.readAt = h.now
+	h.stored.reads++
 	h.do(ReadContacts{})
 }
 
 // leaveContacts writes the row of this domain, at its root, when the first
-// members are others than those in it.
+// members are others than those in it. A node that has read the rows and still
+// has no link may be the first of all: it leaves its address for the others.
 func (h *Heart) leaveContacts() {
 	c := &h.stored
-	if !h.isRoot() || h.now.Before(c.writeAt) || len(h.links) == 0 {
+	if !h.isRoot() || h.now.Before(c.writeAt) || (len(h.links) == 0 && !c.came) {
 		return
 	}
 	c.writeAt = h.now.Add(contactsEvery + h.jitter(contactsEvery/4))
@@ -74,6 +87,7 @@
 }
 
 func (h *Heart) contactsRead(addrs []string) {
+	h.stored.came = true
 	for _, a := range addrs[:min(len(addrs), maxContacts)] {
 		if len(a) <= maxNameSize && a != h.self.Peer {
 			h.stored.addrs = append(h.stored.addrs, a)
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -90,6 +90,10 @@
 	// Hosts is about how many nodes the mesh has. A node that starts together
 	// with all the others can't know it otherwise.
 	Hosts int
+	// HeadFed is set where each node watches the platform itself and tells its
+	// Heart of every version (Committed). The Heart then reads nothing, and
+	// peers are the way for those that are cut off from the platform.
+	HeadFed bool
 }
 
 // Heart is everything that a node knows and decides about its peers. Its zero
--- a/briarrockd/peer/push.go
+++ b/briarrockd/peer/push.go
@@ -17,7 +17,9 @@
 		return
 	}
 	out := h.version.outside >= h.version.number || l.domain != h.self.Domain
-	if !h.push(l, number, out) {
+	// Where every node watches the platform, the peer is about to have the
+	// version: the notice of it is enough.
+	if h.cfg.HeadFed || !h.push(l, number, out) {
 		h.send(l, Notice{h.version.number, h.version.hash, out})
 	}
 	l.told = h.version.number
--- a/briarrockd/peer/version.go
+++ b/briarrockd/peer/version.go
@@ -156,7 +156,13 @@
 		h.arrived(number, hash, b)
 		return
 	}
-	if !w.asked {
+	switch {
+	case w.asked:
+	case h.cfg.HeadFed:
+		// This node's own watch has most likely seen the version too. A peer is
+		// asked, by askLate, if it has not come after hedgeAfter.
+		w.asked, w.askedAt, w.tries = true, h.now, 1
+	default:
 		h.ask()
 	}
 }
@@ -181,7 +187,7 @@
 		h.send(l, Fetch{w.number, w.hash, have})
 		return
 	}
-	if w.reading {
+	if w.reading || h.cfg.HeadFed {
 		return
 	}
 	w.reading = true
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -104,7 +104,7 @@
 // tickWatch reads the head when nobody else seems to.
 func (h *Heart) tickWatch() {
 	w := &h.watch
-	if w.reading || h.now.Before(w.nextAt) || h.self.State == Leaving {
+	if h.cfg.HeadFed || w.reading || h.now.Before(w.nextAt) || h.self.State == Leaving {
 		return
 	}
 	if h.version.ready && h.now.Sub(w.freshAt) < h.threshold() {
--- a/briarrockd/relay/fail.go
+++ b/briarrockd/relay/fail.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"briarrock.example/mesh/kind"
 )
@@ -31,6 +32,35 @@
 	if after > 0 {
 		h.Set("Retry-After", strconv.Itoa(after))
 	}
+	body, err := json.Marshal(Failure{string(k), ran.String(), a.Again && ran == kind.RanNo, a.Text})
+	if err != nil {
+		body = nil // a struct of strings always has a form
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(a.Status)
-	_ = json.NewEncoder(w).Encode(Failure{string(k), ran.String(), a.Again && ran == kind.RanNo, a.Text})
+	_, _ = w.Write(body)
+}
+
+// FailAfter is Fail with the time until it is worth asking again, exact to
+// the millisecond; 0 if nobody knows it.
+func FailAfter(w http.ResponseWriter, k kind.Kind, ran kind.Ran, wait time.Duration) {
+	after := 0
+	if wait > 0 {
+		w.Header().Set(kind.HeaderAfter, strconv.FormatInt(wait.Milliseconds(), 10))
+		after = int((wait + time.Second - 1) / time.Second)
+	}
+	Fail(w, k, ran, after)
+}
+
+// After reads the time until it is worth asking again from an answer's head;
+// 0 if it says none.
+func After(h http.Header) time.Duration {
+	if ms, err := strconv.ParseInt(h.Get(kind.HeaderAfter), 10, 64); err == nil && ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+	s, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return time.Duration(s) * time.Second
 }
--- a/briarrockd/relay/relay.go
+++ b/briarrockd/relay/relay.go
@@ -16,12 +16,14 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,6 +44,10 @@
 // callers. Nothing with this prefix passes through from outside.
 const Prefix = "Briarrock-"
 
+// HeaderSeal is the one exception: a target's proof that an answer is its own,
+// which passes to the caller as it is.
+const HeaderSeal = Prefix + "Seal"
+
 // Call is one exchange to be sent.
 type Call struct {
 	// In is the request as it came in.
@@ -219,6 +225,38 @@
 	return out
 }
 
+// Whole reads the body of an answer into memory if it has at most limit bytes,
+// so that an answer which breaks off is noticed before any of it is passed on.
+// A larger one is left to be streamed. The error is that of the body.
+func Whole(res *http.Response, limit int64) error {
+	if res.ContentLength > limit {
+		return nil
+	}
+	b, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
+	if err != nil {
+		_ = res.Body.Close()
+		return errors.WithStack(err)
+	}
+	if int64(len(b)) > limit {
+		res.Body = &resumed{io.MultiReader(bytes.NewReader(b), res.Body), res.Body}
+		return nil
+	}
+	_ = res.Body.Close()
+	res.Body = io.NopCloser(bytes.NewReader(b))
+	if res.Request == nil || res.Request.Method != http.MethodHead {
+		res.ContentLength = int64(len(b))
+		res.TransferEncoding = nil
+		res.Header.Set("Content-Length", strconv.Itoa(len(b)))
+	}
+	return nil
+}
+
+// resumed is a body of which the beginning has been read already.
+type resumed struct {
+	io.Reader
+	io.Closer
+}
+
 // Answer copies an answer to the caller. When it fails half-way the only
 // honest thing left is to break the connection to the caller, so that a short
 // answer can't pass as a whole one: the Outcome's Kind is then not None and
@@ -398,7 +436,7 @@
 func endToEnd(h http.Header) http.Header {
 	out := make(http.Header, len(h))
 	for k, v := range h {
-		if !strings.HasPrefix(k, Prefix) {
+		if !strings.HasPrefix(k, Prefix) || k == HeaderSeal {
 			out[k] = v
 		}
 	}
--- /dev/null
+++ b/briarrockd/target/announce.go
@@ -0,0 +1,228 @@
+package target
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"briarrock.example/briarrockd/http1"
+	"briarrock.example/briarrockd/relay"
+	"briarrock.example/mesh/event"
+)
+
+const (
+	// admitAfter is how many announcements make a target believed that does not
+	// answer its health check: such answers can be wrong either way, but a
+	// late announcement from before it left is never followed by two more.
+	admitAfter = 3
+	// turnAround is how many announcements in a row with an earlier start are
+	// believed after all: the host's clock has gone back between two processes
+	// of the target, and the later one would otherwise never be heard.
+	turnAround = 2
+	// maxLeft bounds the memory for targets that have left.
+	maxLeft = 256
+	// checkWithin bounds a health check, checkAgain is the pause after one that
+	// failed.
+	checkWithin = time.Second
+	checkAgain  = 250 * time.Millisecond
+)
+
+// Heard takes what a target says of itself. It returns false if the host has
+// too many targets for one more.
+//
+// Announcements can be late: one from before the target said that it leaves
+// must not bring work back to it, and one of an earlier process at the same
+// address must not replace a later one's.
+func (t *Targets) Heard(a Announcement) bool {
+	now := time.Now()
+	t.mu.Lock()
+	x := t.all[a.Addr]
+	if t.isLate(x, a) {
+		t.mu.Unlock()
+		t.deps.Log.Emit(event.AnnounceBad, event.Fields{event.Subject: a.ID, "reason": "late", "born": a.Born, "seq": a.Seq, "state": a.State})
+		return true
+	}
+	if x != nil && (x.service != a.Service || x.said.ID != a.ID || x.said.Born != a.Born) {
+		// Another service, name or process at the same address is another target.
+		t.mu.Unlock()
+		t.drop(x, "replaced by "+a.ID)
+		return t.Heard(a)
+	}
+	if x == nil && len(t.all) >= maxTargets {
+		t.mu.Unlock()
+		return false
+	}
+	isNew := x == nil
+	if isNew {
+		x = t.newTarget(a)
+		t.all[a.Addr] = x
+	}
+	old := x.said
+	x.said, x.heardAt = a, now
+	x.heard++
+	x.behind = 0
+	t.noteLeaving(a)
+	gone := t.gone
+	t.mu.Unlock()
+	if isNew {
+		t.deps.Log.Emit(event.TargetUp, event.Fields{event.Subject: a.Addr, "service": a.Service, "id": a.ID, "born": a.Born, "seq": a.Seq, "state": a.State, "slots": a.Slots})
+	}
+	t.believe(x, old, a, isNew, gone)
+	return true
+}
+
+// isLate tells whether an announcement is from before what is known already.
+func (t *Targets) isLate(x *target, a Announcement) bool {
+	if born, ok := t.left[a.ID]; ok && a.ID != "" && a.Born <= born && a.State != StateDraining {
+		return true
+	}
+	if x == nil || a.Born == 0 {
+		return false
+	}
+	if a.Born < x.said.Born {
+		x.behind++
+		return x.behind < turnAround || time.Since(x.heardAt) < t.deps.Silent/2
+	}
+	return a.Born == x.said.Born && a.ID == x.said.ID && a.Seq < x.said.Seq
+}
+
+// noteLeaving remembers that a target leaves: within one process that is final.
+func (t *Targets) noteLeaving(a Announcement) {
+	if a.State != StateDraining || a.ID == "" {
+		return
+	}
+	if len(t.left) >= maxLeft {
+		clear(t.left)
+	}
+	t.left[a.ID] = max(t.left[a.ID], a.Born)
+}
+
+// believe acts on an announcement that is not late.
+func (t *Targets) believe(x *target, old, a Announcement, isNew, gone bool) {
+	if isNew || old.Slots != a.Slots || old.State != a.State {
+		x.step(t.limits(a))
+		x.step(Drain{On: gone || a.State == StateDraining})
+		t.deps.Log.Emit(event.TargetState, event.Fields{event.Subject: a.Addr, "id": a.ID, "from": old.State, "state": a.State, "seq": a.Seq})
+	}
+	admitted := t.admit(x)
+	if isNew && !admitted {
+		t.wg.Go(func() { t.check(x) })
+	}
+	if isNew || admitted || old.Slots != a.Slots || old.State != a.State {
+		t.changed()
+	}
+}
+
+// admit lets calls pass to a target that needs no health check, or that has
+// announced itself often enough. It tells whether that is new.
+func (t *Targets) admit(x *target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x.admitted || (x.heard < admitAfter && x.said.ID != "" && t.healthPath(x.service) != "") {
+		return false
+	}
+	x.admitted = true
+	return true
+}
+
+func (t *Targets) healthPath(service string) string {
+	if t.snap == nil {
+		return ""
+	}
+	svc, ok := t.snap.Service(service)
+	if !ok {
+		return ""
+	}
+	return svc.Health
+}
+
+// check asks a target that this process has not known before whether it is
+// well, until it is or has left.
+//
+// A process that was restarted beside a target which is leaving knows nothing
+// of that. A late announcement could tell it that the target is up, and it
+// would send new work to it. The target's own answer is of the moment.
+func (t *Targets) check(x *target) {
+	for {
+		ok := t.healthy(x)
+		t.mu.Lock()
+		same := t.all[x.addr] == x
+		done := x.admitted || !same || x.said.State == StateDraining
+		if ok && same {
+			x.admitted = true
+		}
+		t.mu.Unlock()
+		if ok && same && !done {
+			t.changed()
+		}
+		if ok || done {
+			return
+		}
+		select {
+		case <-t.done:
+			return
+		case <-time.After(checkAgain):
+		}
+	}
+}
+
+// healthy asks a target once.
+func (t *Targets) healthy(x *target) bool {
+	t.mu.Lock()
+	path := t.healthPath(x.service)
+	id := x.said.ID
+	t.mu.Unlock()
+	if path == "" {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), checkWithin)
+	defer cancel()
+	u := url.URL{Scheme: x.url.Scheme, Host: x.url.Host, Path: path}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set("User-Agent", "")
+	res, err := x.pool.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	_ = relay.Whole(res, maxAnnouncement)
+	t.deps.Log.Emit(event.TargetState, event.Fields{event.Subject: x.addr, "id": id, "health": res.StatusCode})
+	return res.StatusCode == http.StatusOK
+}
+
+// Left takes a target's word that it leaves for good.
+func (t *Targets) Left(id string) {
+	for _, x := range t.list() {
+		said := t.lastSaid(x)
+		if said.ID != id {
+			continue
+		}
+		said.State = StateDraining
+		t.mu.Lock()
+		t.noteLeaving(said)
+		t.mu.Unlock()
+		t.drop(x, "left")
+	}
+}
+
+func (t *Targets) newTarget(a Announcement) *target {
+	x := &target{
+		service: a.Service,
+		addr:    a.Addr,
+		url:     &url.URL{Scheme: "http", Host: a.Addr},
+		pool: http1.NewPool(http1.PoolConfig{
+			Dial: relay.Dialer(dialTimeout, http1.Dialer(dialTimeout)), Idle: idleTimeout,
+			Most: a.Connections, Belongs: t.deps.Belongs,
+		}),
+		gate:    NewGate(Limits{Slots: a.Slots, Queue: 2 * a.Slots}),
+		waiters: make(map[CallID]chan Cmd),
+	}
+	x.transport = x.pool
+	if t.deps.Dialect != nil {
+		x.transport = t.deps.Dialect(x.pool)
+	}
+	return x
+}
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -64,11 +64,12 @@
 type Start struct{ ID CallID }
 
 // Refuse turns a call away. After is the number of seconds until it is worth
-// asking again.
+// asking again, and Wait the same more finely; 0 if nobody knows.
 type Refuse struct {
 	ID    CallID
 	Kind  kind.Kind
 	After int
+	Wait  time.Duration
 }
 
 func (Start) cmd()  {}
@@ -178,17 +179,17 @@
 }
 
 func (g *Gate) refuse(id CallID, k kind.Kind) {
-	g.cmds = append(g.cmds, Refuse{id, k, g.after(k)})
-}
-
-// after tells when to come back: when the work that is queued now is done.
-func (g *Gate) after(k kind.Kind) int {
-	if k != kind.Full && k != kind.Limit {
-		return 0
+	r := Refuse{ID: id, Kind: k}
+	if k == kind.Full || k == kind.Limit {
+		r.Wait = g.wait(len(g.queue))
+		r.After = max(1, int(r.Wait.Round(time.Second)/time.Second))
 	}
-	return max(1, int(g.wait(len(g.queue)).Round(time.Second)/time.Second))
+	g.cmds = append(g.cmds, r)
 }
 
+// Usual is how long a call takes as a rule; 0 before any has ended.
+func (g *Gate) Usual() time.Duration { return g.limit.mean }
+
 // wait is how long a call behind n others is expected to be queued.
 func (g *Gate) wait(n int) time.Duration {
 	return g.limit.usual() * time.Duration(n+1) / time.Duration(g.allowed())
@@ -272,9 +273,9 @@
 	if m.Shed {
 		g.shedAt = g.now
 	}
-	full := len(g.running) >= g.allowed()
+	running := len(g.running)
 	delete(g.running, m.ID)
-	g.limit.ended(g.now, m, full, g.slots)
+	g.limit.ended(g.now, m, running, g.slots)
 }
 
 func (g *Gate) drain(on bool) {
--- a/briarrockd/target/limiter.go
+++ b/briarrockd/target/limiter.go
@@ -9,27 +9,31 @@
 	// shrinkEvery is the least time between two such steps: one burst of
 	// refusals is one signal.
 	shrinkEvery = 200 * time.Millisecond
-	// slowdown is how many times its usual least duration the mean duration
+	// floorShare is the part of the slots below which the limit does not go. A
+	// target that refuses or fails at random, at any load, would otherwise lose
+	// nearly all of its capacity, and with it that of its whole service.
+	floorShare = 0.4
+	// slowdown is how many times its duration at low load the mean duration
 	// must reach, at a full limit, for the limit to go down: an announced
 	// number of slots that is too high shows as calls that slow each other.
 	slowdown = 4
-	// leastRise is the share by which the least duration drifts up per call,
-	// so that it follows a target whose work has become heavier for good.
-	leastRise  = 0.002
-	meanWeight = 0.1
+	// quietShare is the part of the limit up to which load counts as low.
+	quietShare  = 0.5
+	meanWeight  = 0.1
+	quietWeight = 0.05
 	// coldShare is the part of the slots that a cold target starts with.
 	coldShare = 4
 	// firstGuess stands for the usual duration before any is known.
 	firstGuess = 5 * time.Millisecond
 )
 
-// limiter is a concurrency limit between 1 and the announced slots. It goes
-// up by about one for each round of calls that end well at a full limit, and
-// down by a factor when the target refuses, fails or slows down.
+// limiter is a concurrency limit between a part of the announced slots and
+// all of them. It goes up by about one for each round of calls that end well at
+// a full limit, and down by a factor when the target refuses or slows down.
 type limiter struct {
 	limit    float64
 	mean     time.Duration
-	least    time.Duration
+	quiet    time.Duration // mean duration at low load
 	shrankAt time.Time
 }
 
@@ -50,14 +54,20 @@
 	return l.mean
 }
 
-func (l *limiter) ended(now time.Time, m Ended, full bool, slots int) {
-	if m.Shed || m.Failed {
-		l.lower(now)
+// ended takes the end of a call. running counts the calls that ran, that one
+// included.
+func (l *limiter) ended(now time.Time, m Ended, running, slots int) {
+	full := running >= l.value()
+	if m.Shed {
+		l.lower(now, slots)
 		return
 	}
-	l.measure(m.Took)
-	if full && l.least > 0 && l.mean > slowdown*l.least {
-		l.lower(now)
+	if m.Failed || m.Took <= 0 {
+		return
+	}
+	l.measure(m.Took, float64(running) <= quietShare*l.limit)
+	if full && l.quiet > 0 && l.mean > slowdown*l.quiet {
+		l.lower(now, slots)
 		return
 	}
 	if full {
@@ -65,20 +75,24 @@
 	}
 }
 
-func (l *limiter) measure(took time.Duration) {
+func (l *limiter) measure(took time.Duration, quiet bool) {
 	if l.mean == 0 {
-		l.mean, l.least = took, took
-		return
+		l.mean = took
 	}
 	l.mean += time.Duration(meanWeight * float64(took-l.mean))
-	l.least += time.Duration(leastRise * float64(l.least))
-	l.least = min(l.least, l.mean)
+	if !quiet {
+		return
+	}
+	if l.quiet == 0 {
+		l.quiet = took
+	}
+	l.quiet += time.Duration(quietWeight * float64(took-l.quiet))
 }
 
-func (l *limiter) lower(now time.Time) {
+func (l *limiter) lower(now time.Time, slots int) {
 	if now.Sub(l.shrankAt) < shrinkEvery {
 		return
 	}
 	l.shrankAt = now
-	l.limit = max(1, l.limit*shrink)
+	l.limit = max(1, min(l.limit, floorShare*float64(slots)), l.limit*shrink)
 }
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -23,8 +23,12 @@
 	HeaderPriority = "Briarrock-Priority"
 	HeaderPrint    = "Briarrock-Print" // fingerprint of the request
 	HeaderOnce     = "Briarrock-Once"  // set if it may run only once
-	// HeaderLoad tells the entry how taken the target is.
-	HeaderLoad = "Briarrock-Load"
+	// HeaderLoad tells the entry how taken the target is, and HeaderUsual how
+	// many milliseconds its work takes as a rule.
+	HeaderLoad  = "Briarrock-Load"
+	HeaderUsual = "Briarrock-Usual"
+	// HeaderInstance tells a target whom the request is for, by its ID.
+	HeaderInstance = "Briarrock-Instance"
 	// HeaderTrace names a call through all of its way.
 	HeaderTrace = "Briarrock-Trace"
 )
@@ -112,6 +116,10 @@
 	priority snapshot.Priority
 	deadline time.Time
 	mark     uint64 // fingerprint of the request
+	trace    string
+	once     bool
+	// waited is how long the gate held the call back.
+	waited time.Duration
 }
 
 func readCall(r *http.Request, now time.Time) (call, bool) {
@@ -124,34 +132,38 @@
 	return call{
 		service:  r.Header.Get(HeaderService),
 		caller:   r.Header.Get(HeaderCaller),
-		priority: min(snapshot.Priority(priority), snapshot.Urgent),
+		priority: min(snapshot.Priority(priority), snapshot.MostUrgent),
 		deadline: now.Add(time.Duration(ms) * time.Millisecond),
 		mark:     mark,
+		trace:    r.Header.Get(HeaderTrace),
+		once:     r.Header.Get(HeaderOnce) != "",
 	}, true
 }
 
 // ServeHTTP runs a call that another node sends for a target of this host.
 func (t *Targets) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c, ok := readCall(r, time.Now())
+	now := time.Now()
+	c, ok := readCall(r, now)
 	if !ok {
 		relay.Fail(w, kind.Request, kind.RanNo, 0)
 		return
 	}
 	x := t.find(c.service)
 	if x == nil {
-		t.refuse(w, nil, Refuse{Kind: kind.Drain})
+		t.refuse(w, c, nil, Refuse{Kind: kind.Drain})
 		return
 	}
 	if c.mark != 0 && t.deps.Suspicion(c.mark) >= peer.HoldAt {
-		t.refuse(w, x, Refuse{Kind: kind.Held})
+		t.refuse(w, c, x, Refuse{Kind: kind.Held})
 		return
 	}
 	relay.Duplex(w, r)
 	id, refuse := x.enter(r.Context(), Arrive{Caller: c.caller, Priority: c.priority, Deadline: c.deadline})
 	if refuse.Kind != kind.None {
-		t.refuse(w, x, refuse)
+		t.refuse(w, c, x, refuse)
 		return
 	}
+	c.waited = time.Since(now)
 	t.run(w, r, x, id, c)
 }
 
@@ -160,7 +172,7 @@
 	var best *target
 	least := 0.0
 	for _, x := range t.list() {
-		if x.service != service {
+		if x.service != service || !t.open(x) {
 			continue
 		}
 		x.mu.Lock()
@@ -173,42 +185,82 @@
 	return best
 }
 
-func (t *Targets) refuse(w http.ResponseWriter, x *target, r Refuse) {
-	t.refused.Inc()
-	x.tellLoad(w.Header())
-	relay.Fail(w, r.Kind, kind.RanNo, r.After)
+// open tells whether calls may pass to a target at all.
+func (t *Targets) open(x *target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return x.admitted
 }
 
-func (x *target) tellLoad(h http.Header) {
-	if x == nil {
+func (t *Targets) refuse(w http.ResponseWriter, c call, x *target, r Refuse) {
+	t.refused.Inc()
+	f := event.Fields{"trace": c.trace, "service": c.service, "kind": string(r.Kind), "after": r.Wait.Milliseconds()}
+	if x != nil {
+		f["target"], f["load"] = x.addr, x.tellLoad(w.Header())
+	}
+	t.deps.Log.Call(event.RunRefused, f, false)
+	if r.Wait > 0 {
+		relay.FailAfter(w, r.Kind, kind.RanNo, r.Wait)
 		return
 	}
+	relay.Fail(w, r.Kind, kind.RanNo, r.After)
+}
+
+// tellLoad puts into a head how taken the target is, and returns that.
+func (x *target) tellLoad(h http.Header) string {
 	x.mu.Lock()
-	load := x.gate.Load()
+	load, usual := x.gate.Load(), x.gate.Usual()
 	x.mu.Unlock()
-	h.Set(HeaderLoad, strconv.FormatFloat(load, 'f', 2, 64))
+	text := strconv.FormatFloat(load, 'f', 2, 64)
+	h.Set(HeaderLoad, text)
+	if usual > 0 {
+		h.Set(HeaderUsual, strconv.FormatInt(usual.Milliseconds(), 10))
+	}
+	return text
 }
 
+// keepAnswer bounds the answers that are read whole before any of them goes
+// out: one that breaks off then costs no connection between nodes.
+const keepAnswer = 64 << 10
+
 // run passes a call that the gate has started on to its target.
 func (t *Targets) run(w http.ResponseWriter, r *http.Request, x *target, id CallID, c call) {
 	t.started.Inc()
 	ended := Ended{ID: id}
 	defer func() { x.step(ended) }()
 	began := time.Now()
-	res, out := relay.Send(r.Context(), relay.Call{
-		In: r, URL: relay.Toward(x.url, r), Host: r.Host, Add: t.towardsTarget(r, c),
+	ctx := r.Context()
+	if c.once {
+		// What must not run twice is not broken off in the midst either: its
+		// caller could not tell how far it came.
+		ctx = context.WithoutCancel(ctx)
+	}
+	res, out := relay.Send(ctx, relay.Call{
+		In: r, URL: relay.Toward(x.url, r), Host: r.Host, Add: t.towardsTarget(r, x, c),
 		Body: body(r), Length: r.ContentLength, Transport: x.transport, Stall: t.deps.Stall,
-		Deadline: c.deadline, Streamed: relay.IsStreamed(r), Once: r.Header.Get(HeaderOnce) != "",
+		Deadline: c.deadline, Streamed: relay.IsStreamed(r), Once: c.once,
 	})
+	if res != nil && (res.ContentLength >= 0 || !relay.IsStreamed(r)) {
+		if err := relay.Whole(res, keepAnswer); err != nil {
+			res, out = nil, relay.Outcome{Kind: kind.Broken, Sent: true, Err: err}
+		}
+	}
+	ended.Took = time.Since(began)
 	if res == nil {
 		ended.Failed = out.Kind == kind.Broken || out.Kind == kind.Late
+		t.tell(c, x, ended.Took, string(out.Kind))
 		t.failed(w, x, c, out)
 		return
 	}
+	if kind.ParseRan(res.Header.Get(kind.HeaderRan)) == kind.RanNo {
+		t.unrun(w, x, c, res, &ended)
+		return
+	}
 	if ended.Shed = shed(res); ended.Shed {
 		x.step(ended) // counts now, so that this very answer tells of it
 	}
-	x.tellLoad(w.Header())
+	t.tell(c, x, ended.Took, strconv.Itoa(res.StatusCode))
+	_ = x.tellLoad(w.Header())
 	w.Header().Set(kind.HeaderRan, kind.RanYes.String())
 	out = relay.Answer(w, res, t.deps.Stall)
 	ended.Took = time.Since(began)
@@ -220,6 +272,33 @@
 	}
 }
 
+// unrun takes a target's answer that it did not run a request: it has no room,
+// or it is another target than the one that the request was for.
+func (t *Targets) unrun(w http.ResponseWriter, x *target, c call, res *http.Response, ended *Ended) {
+	_ = res.Body.Close()
+	if res.StatusCode == http.StatusMisdirectedRequest {
+		t.drop(x, "another target answers at its address")
+		t.refuse(w, c, nil, Refuse{Kind: kind.Drain})
+		return
+	}
+	ended.Shed = true
+	x.step(*ended)
+	t.refuse(w, c, x, Refuse{Kind: kind.Shed, Wait: shedAgain})
+}
+
+// shedAgain is when to ask again after a target refused a request by itself:
+// some usual requests have ended by then.
+const shedAgain = 50 * time.Millisecond
+
+// tell writes the line of a call that ran.
+func (t *Targets) tell(c call, x *target, took time.Duration, outcome string) {
+	plain := len(outcome) > 0 && outcome[0] == '2'
+	t.deps.Log.Call(event.RunEnded, event.Fields{
+		"trace": c.trace, "service": c.service, "target": x.addr, "waited": c.waited.Milliseconds(),
+		"ms": took.Milliseconds(), "outcome": outcome, "left": time.Until(c.deadline).Milliseconds(),
+	}, plain)
+}
+
 func body(r *http.Request) io.Reader {
 	if r.ContentLength == 0 {
 		return nil
@@ -234,8 +313,11 @@
 
 // towardsTarget are the headers that a target may use: who calls, how much
 // time is left, and the name of the call.
-func (t *Targets) towardsTarget(r *http.Request, c call) http.Header {
-	h := make(http.Header)
+func (t *Targets) towardsTarget(r *http.Request, x *target, c call) http.Header {
+	h := make(http.Header, 4)
+	if id := t.lastSaid(x).ID; id != "" {
+		h.Set(HeaderInstance, id)
+	}
 	for _, name := range []string{HeaderTrace, HeaderCaller} {
 		if v := r.Header.Get(name); v != "" {
 			h.Set(name, v)
@@ -257,11 +339,11 @@
 	}
 	switch out.Kind {
 	case kind.Refused:
-		t.drop(x)
+		t.drop(x, "refuses connections")
 	case kind.Broken:
 		t.lookForCrash(x, c)
 	}
-	x.tellLoad(w.Header())
+	_ = x.tellLoad(w.Header())
 	relay.Fail(w, out.Kind, ran, 0)
 }
 
@@ -275,7 +357,7 @@
 		_ = conn.Close()
 		return
 	}
-	t.drop(x)
+	t.drop(x, "crashed")
 	if c.mark == 0 {
 		return
 	}
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -25,23 +25,23 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 
+	"briarrock.example/briarrockd/http1"
 	"briarrock.example/briarrockd/peer"
-	"briarrock.example/briarrockd/relay"
 	"briarrock.example/mesh/event"
 	"briarrock.example/mesh/snapshot"
 )
 
 // The states that a target may announce.
 const (
-	stateUp       = "up"
-	stateCold     = "cold"
-	stateDraining = "draining"
+	StateUp       = "up"
+	StateCold     = "cold"
+	StateDraining = "draining"
 )
 
 // Times and bounds.
 const (
-	// goneAfter is how long a target may be silent: three announcements, one
-	// of which comes each second, and some delay.
+	// goneAfter is how long a target may be silent as a rule: three
+	// announcements, one of which comes each second, and some delay.
 	goneAfter = 3500 * time.Millisecond
 	// sweepEvery is how often silent targets are looked for.
 	sweepEvery      = 500 * time.Millisecond
@@ -51,7 +51,6 @@
 	maxConns        = 65535
 	dialTimeout     = 2 * time.Second
 	idleTimeout     = 60 * time.Second
-	maxHeader       = 64 << 10
 )
 
 // Announcement is what a target says of itself, as JSON, each second.
@@ -61,6 +60,14 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	State       string `json:"state"`
+	// ID names the target, if it has a name. Requests then say whom they are
+	// for, so that another target at the same address doesn't run them.
+	ID string `json:"id,omitempty"`
+	// Born is when the target's process started, in Unix milliseconds, and Seq
+	// counts its announcements. Together they tell late ones; 0 if it doesn't
+	// say.
+	Born int64 `json:"born,omitempty"`
+	Seq  int64 `json:"seq,omitempty"`
 }
 
 // Deps are what Targets needs from outside.
@@ -76,6 +83,14 @@
 	Metrics   *metrics.Set
 	// Stall bounds the time without a byte moving.
 	Stall time.Duration
+	// Dialect, if set, wraps the connections to targets: it translates between
+	// the headers of this package and those that the targets know.
+	Dialect func(http.RoundTripper) http.RoundTripper
+	// Belongs, if set, tells whether an answer is the one to a request.
+	Belongs func(req *http.Request, res *http.Response) bool
+	// Silent is how long a target may be silent before it is taken for gone; 0
+	// for the usual time.
+	Silent time.Duration
 }
 
 // Targets are the targets on this host. New makes one.
@@ -88,20 +103,31 @@
 	done chan struct{}
 	wg   sync.WaitGroup
 
+	// left are the targets that have said that they leave, by their ID, with
+	// the time of their start.
+	left map[string]int64
+
 	started *metrics.Counter
 	refused *metrics.Counter
 }
 
 // target is one target with its gate and its connections. Its service and its
-// address never change; said and heardAt are guarded by the lock of Targets,
-// the gate and what belongs to it by the target's own.
+// address never change; said and what goes with it is guarded by the lock of
+// Targets, the gate and what belongs to it by the target's own.
 type target struct {
-	service   string
-	addr      string
-	url       *url.URL
-	said      Announcement
-	heardAt   time.Time
-	transport *http.Transport
+	service string
+	addr    string
+	url     *url.URL
+	said    Announcement
+	heardAt time.Time
+	// heard counts the announcements; admitted is set once calls may pass.
+	heard    int
+	admitted bool
+	// behind counts announcements in a row that seem to be from before the one
+	// held.
+	behind    int
+	pool      *http1.Pool
+	transport http.RoundTripper
 	gate      *Gate
 	waiters   map[CallID]chan Cmd
 	lastID    CallID
@@ -114,9 +140,13 @@
 	if d.Metrics == nil {
 		d.Metrics = metrics.NewSet()
 	}
+	if d.Silent == 0 {
+		d.Silent = goneAfter
+	}
 	t := &Targets{
 		deps:    d,
 		all:     make(map[string]*target),
+		left:    make(map[string]int64),
 		done:    make(chan struct{}),
 		started: d.Metrics.GetOrCreateCounter("briarrock_target_calls_total"),
 		refused: d.Metrics.GetOrCreateCounter("briarrock_target_refused_total"),
@@ -173,7 +203,7 @@
 
 // limits are the lesser of what the target announces and the operator allows.
 func (t *Targets) limits(a Announcement) Limits {
-	l := Limits{Slots: a.Slots, Queue: 2 * a.Slots, Cold: a.State == stateCold}
+	l := Limits{Slots: a.Slots, Queue: 2 * a.Slots, Cold: a.State == StateCold}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.snap == nil {
@@ -215,7 +245,7 @@
 		http.Error(w, problem, http.StatusBadRequest)
 		return
 	}
-	if !t.heard(a) {
+	if !t.Heard(a) {
 		http.Error(w, "too many targets on this host", http.StatusTooManyRequests)
 		return
 	}
@@ -227,7 +257,7 @@
 // draw the calls of a service to another machine.
 func (a *Announcement) problem(remote string) string {
 	if a.State == "" {
-		a.State = stateUp
+		a.State = StateUp
 	}
 	host, port, err := net.SplitHostPort(a.Addr)
 	from, _, rerr := net.SplitHostPort(remote)
@@ -242,72 +272,12 @@
 		return "slots is out of range"
 	case a.Connections < 0 || a.Connections > maxConns:
 		return "connections is out of range"
-	case a.State != stateUp && a.State != stateCold && a.State != stateDraining:
+	case a.State != StateUp && a.State != StateCold && a.State != StateDraining:
 		return "state must be up, cold or draining"
 	}
 	return ""
 }
 
-func (t *Targets) heard(a Announcement) bool {
-	now := time.Now()
-	t.mu.Lock()
-	x := t.all[a.Addr]
-	if x != nil && x.service != a.Service {
-		// Another service at the same address is another target.
-		t.mu.Unlock()
-		t.drop(x)
-		return t.heard(a)
-	}
-	if x == nil && len(t.all) >= maxTargets {
-		t.mu.Unlock()
-		return false
-	}
-	isNew := x == nil
-	if isNew {
-		x = newTarget(a)
-		t.all[a.Addr] = x
-	}
-	old := x.said
-	x.said = a
-	x.heardAt = now
-	gone := t.gone
-	t.mu.Unlock()
-	if isNew {
-		t.deps.Log.Emit(event.TargetUp, event.Fields{event.Subject: a.Addr, "service": a.Service})
-	}
-	if !isNew && old == a {
-		return true
-	}
-	if isNew || old.Slots != a.Slots || old.State != a.State {
-		x.step(t.limits(a))
-	}
-	x.step(Drain{On: gone || a.State == stateDraining})
-	t.changed()
-	return true
-}
-
-func newTarget(a Announcement) *target {
-	return &target{
-		service: a.Service,
-		addr:    a.Addr,
-		url:     &url.URL{Scheme: "http", Host: a.Addr},
-		transport: &http.Transport{
-			DialContext:            relay.Dialer(dialTimeout, nil),
-			MaxConnsPerHost:        a.Connections,
-			MaxIdleConnsPerHost:    max(a.Slots, 1),
-			IdleConnTimeout:        idleTimeout,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxHeader,
-			WriteBufferSize:        bufferSize,
-			ReadBufferSize:         bufferSize,
-		},
-		gate:    NewGate(Limits{Slots: a.Slots, Queue: 2 * a.Slots}),
-		waiters: make(map[CallID]chan Cmd),
-	}
-}
-
-const bufferSize = 16 << 10
-
 // changed tells the mesh which targets there are now.
 func (t *Targets) changed() {
 	t.mu.Lock()
@@ -316,8 +286,8 @@
 		out = append(out, peer.Target{
 			Service:  x.service,
 			Slots:    x.said.Slots,
-			Draining: t.gone || x.said.State == stateDraining,
-			Cold:     x.said.State == stateCold,
+			Draining: t.gone || !x.admitted || x.said.State == StateDraining,
+			Cold:     x.said.State == StateCold,
 		})
 	}
 	t.mu.Unlock()
@@ -338,17 +308,17 @@
 		now := time.Now()
 		for _, x := range t.list() {
 			t.mu.Lock()
-			silent := now.Sub(x.heardAt) > goneAfter
+			silent := now.Sub(x.heardAt) > t.deps.Silent
 			t.mu.Unlock()
 			if silent {
-				t.drop(x)
+				t.drop(x, "silent")
 			}
 		}
 	}
 }
 
 // drop forgets a target until it announces itself again.
-func (t *Targets) drop(x *target) {
+func (t *Targets) drop(x *target, reason string) {
 	t.mu.Lock()
 	same := t.all[x.addr] == x
 	if same {
@@ -358,9 +328,9 @@
 	if !same {
 		return
 	}
-	t.deps.Log.Emit(event.TargetGone, event.Fields{event.Subject: x.addr, "service": x.service})
+	t.deps.Log.Emit(event.TargetGone, event.Fields{event.Subject: x.addr, "service": x.service, "id": x.said.ID, "reason": reason})
 	x.step(Drain{On: true})
-	x.transport.CloseIdleConnections()
+	x.pool.Close()
 	t.changed()
 }
 
--- a/mesh/event/event.go
+++ b/mesh/event/event.go
@@ -44,6 +44,9 @@
 	KeysLoaded      = Event{104, "keysloaded", logrus.InfoLevel}
 	KeysBad         = Event{105, "keysbad", logrus.ErrorLevel}
 	Library         = Event{106, "library", logrus.WarnLevel}
+	LogDropped      = Event{107, "logdropped", logrus.WarnLevel}
+	Reloaded        = Event{108, "reloaded", logrus.InfoLevel}
+	Panicked        = Event{109, "panicked", logrus.ErrorLevel}
 	VersionInUse    = Event{201, "inuse", logrus.InfoLevel}
 	VersionRefused  = Event{202, "refused", logrus.WarnLevel}
 	VersionOld      = Event{203, "old", logrus.WarnLevel}
@@ -64,6 +67,12 @@
 	TargetCrashed   = Event{504, "crashed", logrus.ErrorLevel}
 	RequestHeld     = Event{505, "held", logrus.ErrorLevel}
 	ClaimLost       = Event{506, "claimlost", logrus.WarnLevel}
+	CallAnswered    = Event{507, "answered", logrus.InfoLevel}
+	CallGivenUp     = Event{508, "givenup", logrus.WarnLevel}
+	RunRefused      = Event{509, "runrefused", logrus.InfoLevel}
+	RunEnded        = Event{510, "runended", logrus.InfoLevel}
+	TargetState     = Event{511, "targetstate", logrus.InfoLevel}
+	AnnounceBad     = Event{512, "announcebad", logrus.WarnLevel}
 	EditAccepted    = Event{601, "accepted", logrus.InfoLevel}
 	EditConflict    = Event{602, "conflict", logrus.WarnLevel}
 	EditRefused     = Event{603, "invalid", logrus.WarnLevel}
@@ -74,11 +83,12 @@
 // All returns the list in the order of the numbers.
 func All() []Event {
 	return []Event{
-		Started, Stopping, Stopped, KeysLoaded, KeysBad, Library,
+		Started, Stopping, Stopped, KeysLoaded, KeysBad, Library, LogDropped, Reloaded, Panicked,
 		VersionInUse, VersionRefused, VersionOld, VersionNotFound,
 		LinkUp, LinkDown, PeerRefused, PeerGarbage, MemberSuspect, MemberDead, MemberLeft, DomainStale,
 		StoreDown, StoreUp,
 		CallFailed, TargetUp, TargetGone, TargetCrashed, RequestHeld, ClaimLost,
+		CallAnswered, CallGivenUp, RunRefused, RunEnded, TargetState, AnnounceBad,
 		EditAccepted, EditConflict, EditRefused, EditUnknown, OperatorRefused,
 	}
 }
@@ -108,9 +118,10 @@
 
 // Log writes events. The zero Log writes nothing, which suits tests.
 type Log struct {
-	out  *logrus.Entry
-	mu   sync.Mutex
-	seen map[recentKey]recent
+	out   *logrus.Entry
+	mu    sync.Mutex
+	seen  map[recentKey]recent
+	calls [callClasses]rate
 }
 
 // New returns a Log that writes to w as JSON or as text, from level up. Every
@@ -144,6 +155,10 @@
 	if !write {
 		return
 	}
+	l.write(e, f, skipped)
+}
+
+func (l *Log) write(e Event, f Fields, skipped int) {
 	entry := l.out.WithFields(logrus.Fields(f)).WithField("event", e.id)
 	if skipped > 0 {
 		entry = entry.WithField("skipped", skipped)
--- a/mesh/kind/kind.go
+++ b/mesh/kind/kind.go
@@ -60,6 +60,9 @@
 const (
 	HeaderKind = "Briarrock-Kind"
 	HeaderRan  = "Briarrock-Ran"
+	// HeaderAfter tells in milliseconds when it is worth asking again, more
+	// finely than Retry-After can.
+	HeaderAfter = "Briarrock-After"
 )
 
 // Kind is one way of failing. Its text is the word in the Briarrock-Kind
@@ -76,6 +79,7 @@
 	Caller   Kind = "caller"   // this caller may not use the route
 	Empty    Kind = "empty"    // the service has no live target
 	Full     Kind = "full"     // slots and queue of the target are taken
+	Shed     Kind = "shed"     // the target itself refused the request, unrun
 	Limit    Kind = "limit"    // the caller's share of a queue is taken
 	Drain    Kind = "drain"    // the target or the node is leaving
 	Refused  Kind = "refused"  // the target could not be connected to
@@ -88,7 +92,8 @@
 	Repeat   Kind = "repeat"   // the same key was already sent and its outcome is unknown
 	Conflict Kind = "conflict" // the same key was used with another request
 	Key      Kind = "key"      // the idempotency key is malformed
-	Request  Kind = "request"  // the request is malformed or too large
+	Request  Kind = "request"  // the request is malformed
+	Large    Kind = "large"    // the request's body is larger than allowed
 	Cancel   Kind = "cancel"   // the caller went away
 	Internal Kind = "internal" // a fault of the node itself
 )
@@ -115,6 +120,7 @@
 	Caller:   {http.StatusForbidden, RanNo, false, 0, "this caller may not use the route"},
 	Empty:    {http.StatusServiceUnavailable, RanNo, true, 1, "the service has no live target"},
 	Full:     {http.StatusServiceUnavailable, RanNo, true, 1, "the service is at its limit"},
+	Shed:     {http.StatusServiceUnavailable, RanNo, true, 1, "the target refused the request"},
 	Limit:    {http.StatusTooManyRequests, RanNo, true, 1, "this caller is over its share"},
 	Drain:    {http.StatusServiceUnavailable, RanNo, true, 1, "the target is leaving"},
 	Refused:  {http.StatusBadGateway, RanNo, true, 1, "the target could not be connected to"},
@@ -127,7 +133,8 @@
 	Repeat:   {http.StatusConflict, RanUnknown, false, 0, "this key was sent before and its outcome is not known"},
 	Conflict: {http.StatusUnprocessableEntity, RanNo, false, 0, "this key was used with another request"},
 	Key:      {http.StatusBadRequest, RanNo, false, 0, "the idempotency key is malformed"},
-	Request:  {http.StatusBadRequest, RanNo, false, 0, "the request is malformed or too large"},
+	Request:  {http.StatusBadRequest, RanNo, false, 0, "the request is malformed"},
+	Large:    {http.StatusRequestEntityTooLarge, RanNo, false, 0, "the request's body is larger than allowed"},
 	Cancel:   {499, RanUnknown, false, 0, "the caller went away"},
 	Internal: {http.StatusInternalServerError, RanUnknown, false, 0, "internal fault of the node"},
 }
--- a/mesh/snapshot/snapshot.go
+++ b/mesh/snapshot/snapshot.go
@@ -17,6 +17,7 @@
 import (
 	"encoding/hex"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,11 +65,13 @@
 // Priority orders the queue of a target; a higher one goes first.
 type Priority uint8
 
-// The priorities, from the least urgent.
+// The priorities that the text has words for, from the least urgent.
 const (
 	Bulk Priority = iota
 	Normal
 	Urgent
+	// MostUrgent is the highest priority that there is.
+	MostUrgent Priority = 9
 )
 
 // String returns the priority's word in the operator's text.
@@ -76,10 +79,12 @@
 	switch p {
 	case Bulk:
 		return "bulk"
+	case Normal:
+		return "normal"
 	case Urgent:
 		return "urgent"
 	default:
-		return "normal"
+		return "urgent+" + strconv.Itoa(int(p-Urgent))
 	}
 }
 
@@ -92,6 +97,12 @@
 	Retries  int           `cbor:"5,keyasint,omitempty"`
 	Callers  []string      `cbor:"6,keyasint,omitempty"`
 	Priority Priority      `cbor:"7,keyasint,omitempty"`
+	// Aim is the time within which an answer is worth most to the caller; 0 if
+	// the text doesn't say.
+	Aim time.Duration `cbor:"8,keyasint,omitempty"`
+	// Again lets a request that may be repeated be sent again when its target
+	// answers that it failed (a 5xx); by default such an answer is final.
+	Again bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Service is one service: its limits per target, what it needs and its routes.
@@ -103,12 +114,16 @@
 	Conns     int      `cbor:"5,keyasint"`
 	Queue     int      `cbor:"6,keyasint,omitempty"`
 	Routes    []Route  `cbor:"7,keyasint,omitempty"`
+	// Health is the path by which a target tells whether it is well; empty if
+	// it has none.
+	Health string `cbor:"8,keyasint,omitempty"`
 }
 
 // Inventory counts and names exactly what a snapshot must hold.
 type Inventory struct {
 	Services []string `cbor:"1,keyasint"`
 	Routes   int      `cbor:"2,keyasint"`
+	Entries  int      `cbor:"3,keyasint,omitempty"`
 }
 
 // Snapshot is one version's content. Services are sorted by name. It is never
@@ -117,6 +132,8 @@
 	Mesh      string    `cbor:"1,keyasint"`
 	Services  []Service `cbor:"2,keyasint"`
 	Inventory Inventory `cbor:"3,keyasint"`
+	Entries   []Entry   `cbor:"4,keyasint,omitempty"`
+	Limits    Limits    `cbor:"5,keyasint"`
 }
 
 // Service finds a service by name.
@@ -225,7 +242,7 @@
 	if routes != s.Inventory.Routes {
 		return errors.Wrapf(ErrInventory, "%d routes of %d", routes, s.Inventory.Routes)
 	}
-	return nil
+	return s.verifyEntries()
 }
 
 func (s *Snapshot) verifyService(svc *Service) error {
