--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -172,7 +172,7 @@
 	if k := c.find(); k != kind.None {
 		return c, refusal{kind: k}
 	}
-	ok := false
+	var ok bool
 	c.caller, ok = p.deps.Caller(r.Header)
 	if !ok || !c.route.Allows(c.caller) {
 		return c, refusal{kind: kind.Caller}
@@ -209,7 +209,7 @@
 	if c.service == nil {
 		return kind.Service
 	}
-	ok := false
+	var ok bool
 	c.route, ok = c.service.route(c.r.Method, c.r.URL.Path)
 	if !ok {
 		return kind.Route
--- a/briarrockd/caller/retry.go
+++ b/briarrockd/caller/retry.go
@@ -191,7 +191,7 @@
 // mayGoOn decides whether another attempt follows one that failed.
 func (x *race) mayGoOn(a *attempt) bool {
 	c := x.c
-	if time.Until(c.deadline) < leastLeft || c.route.Retries == 0 || c.r.Context().Err() != nil {
+	if time.Until(c.deadline) < leastLeft || c.route.Retries == 0 || c.r.Context().Err() != nil || !x.mayRun() {
 		return false
 	}
 	if a.failure() {
@@ -208,11 +208,14 @@
 	return x.moves <= maxMoves
 }
 
-// affordsRun takes another run at a target out of the route's retries and the
-// service's budget.
-func (x *race) affordsRun() bool {
-	return x.reached <= x.c.route.Retries && x.p.deps.Budget.retry(x.c.service.Name)
-}
+// mayRun tells whether one more target may get the request. Attempts that are
+// still under way count as if they had reached theirs: nobody knows yet that
+// they have not, and the request would run at more targets than its route
+// allows.
+func (x *race) mayRun() bool { return x.reached+x.under <= x.c.route.Retries }
+
+// affordsRun takes another run at a target out of the service's budget.
+func (x *race) affordsRun() bool { return x.p.deps.Budget.retry(x.c.service.Name) }
 
 // worse is what is to be said of a call after several attempts: it did not
 // run only if none of them did.
@@ -248,7 +251,7 @@
 }
 
 func (x *race) hedge() {
-	if x.hedged || x.under == 0 || x.reached >= x.c.route.Retries || !x.p.deps.Budget.hedge(x.c.service.Name) {
+	if x.hedged || x.under == 0 || !x.mayRun() || !x.p.deps.Budget.hedge(x.c.service.Name) {
 		return
 	}
 	x.hedged = true
--- a/briarrockd/caller/story.go
+++ b/briarrockd/caller/story.go
@@ -11,7 +11,6 @@
 // story is what is told of a call in the log: the decisions along its way.
 type story struct {
 	steps []string
-	plain bool
 }
 
 // step notes a decision. Most calls have one; the slice stays small.
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -107,6 +107,11 @@
 	at time.Time
 }
 
+// leastWait is the least time after which asking again is worth it. Right
+// after a refusal the same slots are still taken; callers who came back at once
+// would only be refused again, and keep the gate busy with it.
+const leastWait = 50 * time.Millisecond
+
 // shareOf is the part of a full queue that one caller may take while others
 // wait too, as 1/shareOf.
 const shareOf = 2
@@ -181,7 +186,7 @@
 func (g *Gate) refuse(id CallID, k kind.Kind) {
 	r := Refuse{ID: id, Kind: k}
 	if k == kind.Full || k == kind.Limit {
-		r.Wait = g.wait(len(g.queue))
+		r.Wait = max(g.wait(len(g.queue)), leastWait)
 		r.After = max(1, int(r.Wait.Round(time.Second)/time.Second))
 	}
 	g.cmds = append(g.cmds, r)
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -211,7 +211,9 @@
 	}
 	if svc, ok := t.snap.Service(a.Service); ok {
 		l.Slots = min(l.Slots, svc.Slots)
-		l.Queue = svc.Queue
+		if svc.Queue != snapshot.QueueBySlots {
+			l.Queue = svc.Queue
+		}
 	}
 	return l
 }
--- a/mesh/snapshot/snapshot.go
+++ b/mesh/snapshot/snapshot.go
@@ -105,6 +105,10 @@
 	Again bool `cbor:"9,keyasint,omitempty"`
 }
 
+// QueueBySlots as a service's Queue is twice the slots that each of its targets
+// announces: what waits is then begun within two usual requests' time.
+const QueueBySlots = -1
+
 // Service is one service: its limits per target, what it needs and its routes.
 type Service struct {
 	Name      string   `cbor:"1,keyasint"`
