Calls queue by their aim; what is known to be full is refused at once

Refusals took 50-90 ms, since each call asked one full target after the other, also in the other region, and callers came back after them too late to be in time.

Change: a call says until when its answer is worth most. A gate queues it only if it is expected to be done by then, runs those first that can still be in time, and does not begin one that would be broken off. An entry does not ask a target again for 20 ms that had no room, and refuses at once if all are so. A caller that comes back is known by the time that it has left.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -100,6 +100,7 @@
 	f.Failed = a.kind == kind.Refused || a.kind == kind.Broken || a.kind == kind.Late
 	f.Poor = a.kind == kind.Shed || a.failure()
 	f.Leaving = a.kind == kind.Drain
+	f.Full = a.kind == kind.Full
 	return f
 }
 
@@ -113,6 +114,9 @@
 	if c.route.Mode == snapshot.Once {
 		h.Set(target.HeaderOnce, "yes")
 	}
+	if !c.aim.IsZero() {
+		h.Set(target.HeaderAim, strconv.FormatInt(time.Until(c.aim).Milliseconds(), 10))
+	}
 	if c.caller != "" {
 		h.Set(target.HeaderCaller, c.caller)
 	}
--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -71,6 +71,7 @@
 	table    atomic.Pointer[Table]
 	leaving  atomic.Bool
 	inflight atomic.Int64
+	patience patience
 	calls    *metrics.Counter
 	attempts *metrics.Counter
 	took     *metrics.Histogram
@@ -116,6 +117,9 @@
 	caller   string
 	began    time.Time
 	deadline time.Time
+	// aim is when the answer loses most of its worth; zero if the route says
+	// nothing.
+	aim      time.Time
 	body     []byte // kept to be sent again; nil for none or a streamed one
 	streamed bool
 	begun    *begun
@@ -181,6 +185,7 @@
 	if !ok {
 		return c, refusal{kind: kind.Request}
 	}
+	p.setAim(c)
 	if len(c.service.set) == 0 {
 		return c, refusal{kind: kind.Empty, after: emptyAfter}
 	}
@@ -194,6 +199,17 @@
 	return c, refusal{}
 }
 
+// setAim works out until when the answer is worth most.
+func (p *Proxy) setAim(c *call) {
+	if c.route.Aim == 0 {
+		return
+	}
+	c.aim = c.began.Add(c.route.Aim)
+	if ms, err := strconv.ParseInt(c.r.Header.Get(target.HeaderDeadline), 10, 64); err == nil && c.entry != "" {
+		c.aim = c.aim.Add(-p.patience.passed(c.entry, time.Duration(ms)*time.Millisecond))
+	}
+}
+
 // find finds the call's route and the service that it goes to: by the entries
 // of its host name, or else by the service that the host name names.
 func (c *call) find() kind.Kind {
--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -57,6 +57,11 @@
 	// keepShare is the part of a set that ejection must leave, as 1/keepShare:
 	// when more fails than that, the fault is likely not the targets'.
 	keepShare = 2
+	// fullFor is how long an upstream that had no room is not asked again. Many
+	// nodes ask each target, so one question in this time from each still finds
+	// every slot that comes free; and a caller is refused at once, with most of
+	// its time left, instead of after asking one full target after the other.
+	fullFor = 20 * time.Millisecond
 	// leavingFor is how long an upstream that leaves is left alone.
 	leavingFor = 3 * time.Second
 	// maxStates bounds the table of upstreams that are remembered.
@@ -78,6 +83,8 @@
 	Poor bool
 	// Leaving is set when the target's node said that the target leaves.
 	Leaving bool
+	// Full is set when the target's node had no room.
+	Full bool
 }
 
 // state is what is remembered of one upstream.
@@ -98,6 +105,8 @@
 	// leaving is until when the upstream is left alone since it said that it
 	// leaves; by then the members' records say so too.
 	leaving time.Time
+	// full is until when the upstream is known to have no room.
+	full time.Time
 }
 
 // Chooser picks upstreams: the cheapest of two at random from each of the own
@@ -217,7 +226,7 @@
 			continue
 		}
 		s := c.states[key(service, set[i].host)]
-		if s != nil && s.leaving.After(now) {
+		if s != nil && (s.leaving.After(now) || s.full.After(now)) {
 			continue
 		}
 		rest = append(rest, i)
@@ -312,6 +321,9 @@
 	if f.Leaving {
 		s.leaving = now.Add(leavingFor)
 	}
+	if f.Full {
+		s.full = now.Add(fullFor)
+	}
 	if f.Unreached {
 		s.until = later(s.until, now.Add(unreachedFor))
 	}
@@ -362,6 +374,17 @@
 	return b
 }
 
+// anyFull tells whether an upstream of a set is passed over since it had no
+// room.
+func (c *Chooser) anyFull(now time.Time, service string, set []upstream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(set, func(u upstream) bool {
+		s := c.states[key(service, u.host)]
+		return s != nil && s.full.After(now)
+	})
+}
+
 // Ejected returns how many upstreams are ejected now.
 func (c *Chooser) Ejected(now time.Time) int {
 	c.mu.Lock()
--- a/briarrockd/caller/retry.go
+++ b/briarrockd/caller/retry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -82,7 +83,7 @@
 	p.deps.Budget.call(c.service.Name)
 	x := &race{p: p, c: c, results: make(chan attempt, maxMoves+c.route.Retries+2)}
 	if !x.start("to") {
-		return attempt{kind: kind.Empty, ran: kind.RanNo, after: emptyAfter}
+		return p.nowhere(c)
 	}
 	hedge := x.hedgeTimer()
 	defer hedge.Stop()
@@ -99,6 +100,19 @@
 	}
 }
 
+// fullAgain is when to ask again for a service that is known to have no room.
+// In this time as many requests end as fill the queues anew; twice the range
+// spreads the return of those who were refused together.
+const fullAgain = 40 * time.Millisecond
+
+// nowhere is the end of a call that has no upstream to go to.
+func (p *Proxy) nowhere(c *call) attempt {
+	if p.deps.Chooser.anyFull(time.Now(), c.service.Name, c.service.set) {
+		return attempt{kind: kind.Full, ran: kind.RanNo, after: fullAgain + rand.N(fullAgain)}
+	}
+	return attempt{kind: kind.Empty, ran: kind.RanNo, after: emptyAfter}
+}
+
 // start begins an attempt at another upstream; false if there is none left.
 func (x *race) start(what string) bool {
 	u, ok := x.p.deps.Chooser.pick(time.Now(), x.c.service.Name, x.c.service.set, x.tried)
--- a/briarrockd/http1/conn.go
+++ b/briarrockd/http1/conn.go
@@ -184,7 +184,7 @@
 	}
 	if req.ContentLength != 0 {
 		x.body = &body{
-			x: x, r: req.Body, left: maxBody, ended: make(chan struct{}),
+			x: x, r: req.Body, most: maxBody, ended: make(chan struct{}),
 			expected: strings.EqualFold(req.Header.Get("Expect"), "100-continue"),
 		}
 		req.Body = x.body
--- a/briarrockd/http1/exchange.go
+++ b/briarrockd/http1/exchange.go
@@ -229,8 +229,9 @@
 type body struct {
 	x        *exchange
 	r        io.ReadCloser
-	left     int64 // bytes still allowed; 0 at the start for no bound
-	expected bool  // the caller waits for 100 Continue
+	most     int64 // bytes that are allowed; 0 for no bound
+	got      int64
+	expected bool // the caller waits for 100 Continue
 	mu       sync.Mutex
 	closed   bool
 	err      error
@@ -253,10 +254,9 @@
 	}
 	_ = b.x.c.nc.SetReadDeadline(time.Now().Add(bodyWithin))
 	n, err := b.r.Read(p)
-	if b.left > 0 {
-		if b.left -= int64(n); b.left <= 0 && err == nil {
-			err = ErrTooLarge
-		}
+	b.got += int64(n)
+	if b.most > 0 && b.got > b.most {
+		n, err = 0, ErrTooLarge
 	}
 	if err != nil {
 		_ = b.x.c.nc.SetReadDeadline(time.Time{})
--- a/briarrockd/http1/link.go
+++ b/briarrockd/http1/link.go
@@ -104,8 +104,8 @@
 	}
 	l.mu.Unlock()
 	if first {
-		_ = l.nc.Close()
 		l.pool.drop(l)
+		_ = l.nc.Close()
 	}
 }
 
--- a/briarrockd/target/announce.go
+++ b/briarrockd/target/announce.go
@@ -214,7 +214,7 @@
 		addr:    a.Addr,
 		url:     &url.URL{Scheme: "http", Host: a.Addr},
 		pool: http1.NewPool(http1.PoolConfig{
-			Dial: relay.Dialer(dialTimeout, http1.Dialer(dialTimeout)), Idle: idleTimeout,
+			Dial: relay.Dialer(dialTimeout, t.deps.Dial), Idle: idleTimeout,
 			Most: a.Connections, Belongs: t.deps.Belongs,
 		}),
 		gate:    NewGate(Limits{Slots: a.Slots, Queue: 2 * a.Slots}),
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -20,6 +20,8 @@
 	Caller   string
 	Priority snapshot.Priority
 	Deadline time.Time
+	// Aim is when the answer loses most of its worth; zero if nobody says.
+	Aim time.Time
 }
 
 // Gone is a call whose caller went away while it was queued.
@@ -213,12 +215,12 @@
 		return
 	}
 	ahead := 0
-	for _, w := range g.queue {
-		if w.Priority >= m.Priority {
+	for i := range g.queue {
+		if !g.sooner(&waiting{m, g.now}, &g.queue[i]) {
 			ahead++
 		}
 	}
-	if g.now.Add(g.wait(ahead)).After(m.Deadline) {
+	if !g.inTime(m, ahead) {
 		g.refuse(m.ID, kind.Full)
 		return
 	}
@@ -233,6 +235,45 @@
 	g.queue = append(g.queue, waiting{m, g.now})
 }
 
+// How much of a queue a call may find before it.
+const (
+	// workSpread is how many times the usual time is allowed for a call's own
+	// work when it is asked whether it will be in time: work varies, and about
+	// four in five calls end within this.
+	workSpread = 2.5
+	// lateShare is the part of the slots up to which others may be before a call
+	// that can't keep its aim any more. Beyond it, it would only make others late.
+	lateShare = 0.25
+	// leastWork is the part of the usual time below which a queued call is not
+	// worth starting: it would take a slot and be broken off.
+	leastWork = 0.5
+)
+
+// inTime tells whether a call that finds so many others before it is expected
+// to end in time: within its aim, if it has one that is not past already.
+//
+// A queue that is as long as deadlines allow makes every call late once there
+// is more work than slots, while as many are done as with a short one. So the
+// queue is kept as short as the aim asks for, and the rest is told at once.
+func (g *Gate) inTime(m Arrive, ahead int) bool {
+	work := time.Duration(workSpread * float64(g.limit.usual()))
+	ends := g.now.Add(g.wait(ahead) + work)
+	switch {
+	case m.Aim.IsZero():
+		return !g.now.Add(g.wait(ahead)).After(m.Deadline)
+	case m.Aim.After(g.now.Add(work)):
+		return !ends.After(m.Aim)
+	default:
+		return !ends.After(m.Deadline) && float64(ahead) < lateShare*float64(g.allowed())
+	}
+}
+
+// startable tells whether a queued call still has the time to be worth a slot.
+func (g *Gate) startable(w waiting) bool {
+	least := time.Duration(leastWork * float64(g.limit.mean))
+	return w.Aim.IsZero() || !g.now.Add(least).After(w.Deadline)
+}
+
 // overShare tells whether a caller would crowd out the others: the queue is
 // half full at least, others wait in it, and this caller has its share.
 func (g *Gate) overShare(caller string) bool {
@@ -313,6 +354,10 @@
 		i := g.next()
 		w := g.queue[i]
 		g.queue = append(g.queue[:i], g.queue[i+1:]...)
+		if !g.startable(w) {
+			g.refuse(w.ID, kind.Full)
+			continue
+		}
 		g.running[w.ID] = g.now
 		g.turn[w.Caller]++
 		g.cmds = append(g.cmds, Start{w.ID})
@@ -322,25 +367,37 @@
 	}
 }
 
-// next is the queued call to run: the most urgent, then that of the caller
-// who had the fewest turns, then the one that waits longest.
+// next is the queued call to run.
 func (g *Gate) next() int {
 	best := 0
 	for i := 1; i < len(g.queue); i++ {
-		a, b := g.queue[i], g.queue[best]
-		if a.Priority != b.Priority {
-			if a.Priority > b.Priority {
-				best = i
-			}
-			continue
-		}
-		if g.turn[a.Caller] < g.turn[b.Caller] {
+		if g.sooner(&g.queue[i], &g.queue[best]) {
 			best = i
 		}
 	}
 	return best
 }
 
+// sooner tells whether call a goes before call b, which came first: the more
+// urgent one, then that of the caller who had fewer turns, then the one whose
+// aim is sooner, while it can be kept. Calls that targets make while they run others have the
+// shortest aims, and whole requests wait for them.
+func (g *Gate) sooner(a, b *waiting) bool {
+	switch {
+	case a.Priority != b.Priority:
+		return a.Priority > b.Priority
+	case g.turn[a.Caller] != g.turn[b.Caller]:
+		return g.turn[a.Caller] < g.turn[b.Caller]
+	case a.Aim.IsZero() || b.Aim.IsZero():
+		return false
+	}
+	aLate, bLate := !a.Aim.After(g.now), !b.Aim.After(g.now)
+	if aLate != bLate {
+		return bLate
+	}
+	return a.Aim.Before(b.Aim)
+}
+
 // NextDeadline is when the gate wants its next Tick; zero for not at all.
 func (g *Gate) NextDeadline() time.Time {
 	if len(g.queue) == 0 {
--- a/briarrockd/target/gate_test.go
+++ b/briarrockd/target/gate_test.go
@@ -58,6 +58,10 @@
 		d.ScanArgs(t, "deadline", &ms)
 		a.Deadline = start.Add(time.Duration(ms) * time.Millisecond)
 		d.MaybeScanArgs(t, "caller", &a.Caller)
+		if d.HasArg("aim") {
+			d.ScanArgs(t, "aim", &ms)
+			a.Aim = start.Add(time.Duration(ms) * time.Millisecond)
+		}
 		if d.HasArg("urgent") {
 			a.Priority = snapshot.Urgent
 		}
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -19,6 +19,7 @@
 const (
 	HeaderService  = "Briarrock-Service"
 	HeaderDeadline = "Briarrock-Deadline" // milliseconds that are left
+	HeaderAim      = "Briarrock-Aim"      // milliseconds until the answer loses most of its worth
 	HeaderCaller   = "Briarrock-Caller"
 	HeaderPriority = "Briarrock-Priority"
 	HeaderPrint    = "Briarrock-Print" // fingerprint of the request
@@ -115,7 +116,8 @@
 	caller   string
 	priority snapshot.Priority
 	deadline time.Time
-	mark     uint64 // fingerprint of the request
+	aim      time.Time // zero if the caller's node says none
+	mark     uint64    // fingerprint of the request
 	trace    string
 	once     bool
 	// waited is how long the gate held the call back.
@@ -129,7 +131,12 @@
 	}
 	mark, _ := strconv.ParseUint(r.Header.Get(HeaderPrint), 16, 64)
 	priority, _ := strconv.ParseUint(r.Header.Get(HeaderPriority), 10, 8)
+	var aim time.Time
+	if ms, err := strconv.ParseInt(r.Header.Get(HeaderAim), 10, 64); err == nil && ms <= maxDeadline.Milliseconds() {
+		aim = now.Add(time.Duration(ms) * time.Millisecond)
+	}
 	return call{
+		aim:      aim,
 		service:  r.Header.Get(HeaderService),
 		caller:   r.Header.Get(HeaderCaller),
 		priority: min(snapshot.Priority(priority), snapshot.MostUrgent),
@@ -158,7 +165,11 @@
 		return
 	}
 	relay.Duplex(w, r)
-	id, refuse := x.enter(r.Context(), Arrive{Caller: c.caller, Priority: c.priority, Deadline: c.deadline})
+	arrive := Arrive{Caller: c.caller, Priority: c.priority, Deadline: c.deadline, Aim: c.aim}
+	if t.deps.NoTurns {
+		arrive.Caller = ""
+	}
+	id, refuse := x.enter(r.Context(), arrive)
 	if refuse.Kind != kind.None {
 		t.refuse(w, c, x, refuse)
 		return
@@ -194,7 +205,7 @@
 
 func (t *Targets) refuse(w http.ResponseWriter, c call, x *target, r Refuse) {
 	t.refused.Inc()
-	f := event.Fields{"trace": c.trace, "service": c.service, "kind": string(r.Kind), "after": r.Wait.Milliseconds()}
+	f := event.Fields{"trace": c.trace, "service": c.service, "priority": c.priority, "kind": string(r.Kind), "after": r.Wait.Milliseconds()}
 	if x != nil {
 		f["target"], f["load"] = x.addr, x.tellLoad(w.Header())
 	}
@@ -294,7 +305,7 @@
 func (t *Targets) tell(c call, x *target, took time.Duration, outcome string) {
 	plain := len(outcome) > 0 && outcome[0] == '2'
 	t.deps.Log.Call(event.RunEnded, event.Fields{
-		"trace": c.trace, "service": c.service, "target": x.addr, "waited": c.waited.Milliseconds(),
+		"trace": c.trace, "service": c.service, "priority": c.priority, "target": x.addr, "waited": c.waited.Milliseconds(),
 		"ms": took.Milliseconds(), "outcome": outcome, "left": time.Until(c.deadline).Milliseconds(),
 	}, plain)
 }
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -27,6 +27,7 @@
 
 	"briarrock.example/briarrockd/http1"
 	"briarrock.example/briarrockd/peer"
+	"briarrock.example/briarrockd/relay"
 	"briarrock.example/mesh/event"
 	"briarrock.example/mesh/snapshot"
 )
@@ -88,6 +89,12 @@
 	Dialect func(http.RoundTripper) http.RoundTripper
 	// Belongs, if set, tells whether an answer is the one to a request.
 	Belongs func(req *http.Request, res *http.Response) bool
+	// Dial, if set, opens the connections to targets.
+	Dial relay.DialFunc
+	// NoTurns lets calls be queued without regard to who makes them: where the
+	// name of a caller says only from which host a call comes, taking turns
+	// would mean nothing.
+	NoTurns bool
 	// Silent is how long a target may be silent before it is taken for gone; 0
 	// for the usual time.
 	Silent time.Duration
@@ -143,6 +150,9 @@
 	if d.Silent == 0 {
 		d.Silent = goneAfter
 	}
+	if d.Dial == nil {
+		d.Dial = http1.Dialer(dialTimeout)
+	}
 	t := &Targets{
 		deps:    d,
 		all:     make(map[string]*target),
