--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -374,14 +374,13 @@
 	return b
 }
 
-// anyFull tells whether an upstream of a set is passed over since it had no
-// room.
-func (c *Chooser) anyFull(now time.Time, service string, set []upstream) bool {
+// anyFull tells whether an upstream of a set had no room within the last time.
+func (c *Chooser) anyFull(now time.Time, service string, set []upstream, last time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return slices.ContainsFunc(set, func(u upstream) bool {
 		s := c.states[key(service, u.host)]
-		return s != nil && s.full.After(now)
+		return s != nil && s.full.Add(last-fullFor).After(now)
 	})
 }
 
--- a/briarrockd/caller/race_test.go
+++ b/briarrockd/caller/race_test.go
@@ -158,6 +158,8 @@
 		c := qt.New(t)
 		_, tr := play(repeatable(1), step{after: 400 * time.Millisecond, status: 200}, step{after: 50 * time.Millisecond, status: 200})
 		time.Sleep(time.Second)
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
 		c.Check(tr.ended, qt.Equals, 2)
 	})
 }
--- a/briarrockd/caller/retry.go
+++ b/briarrockd/caller/retry.go
@@ -107,7 +107,7 @@
 
 // nowhere is the end of a call that has no upstream to go to.
 func (p *Proxy) nowhere(c *call) attempt {
-	if p.deps.Chooser.anyFull(time.Now(), c.service.Name, c.service.set) {
+	if p.deps.Chooser.anyFull(time.Now(), c.service.Name, c.service.set, fullFor) {
 		return attempt{kind: kind.Full, ran: kind.RanNo, after: fullAgain + rand.N(fullAgain)}
 	}
 	return attempt{kind: kind.Empty, ran: kind.RanNo, after: emptyAfter}
@@ -264,7 +264,16 @@
 	return t
 }
 
+// pressedFor is how long after an upstream had no room its service counts as
+// pressed.
+const pressedFor = 500 * time.Millisecond
+
+// hedge asks a second target, unless the service is pressed: the attempt would
+// take a slot from a call that has none.
 func (x *race) hedge() {
+	if x.p.deps.Chooser.anyFull(time.Now(), x.c.service.Name, x.c.service.set, pressedFor) {
+		return
+	}
 	if x.hedged || x.under == 0 || !x.mayRun() || !x.p.deps.Budget.hedge(x.c.service.Name) {
 		return
 	}
--- a/briarrockd/http1/link.go
+++ b/briarrockd/http1/link.go
@@ -304,7 +304,9 @@
 	l.mu.Lock()
 	keep := l.keep
 	l.mu.Unlock()
-	if !ok || keep <= 0 {
+	// Bytes behind a complete answer belong to no request. (The goroutine that
+	// reads waits for passed, so the buffer is at rest.)
+	if !ok || keep <= 0 || l.br.Buffered() > 0 {
 		l.close(ErrClosed)
 		x.passed <- false
 		return
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"sort"
 	"time"
 
 	"briarrock.example/mesh/kind"
@@ -34,7 +33,8 @@
 	Took time.Duration
 	// Shed is set when the target refused it for load.
 	Shed bool
-	// Failed is set when the target broke off or was late.
+	// Failed is set when the target broke off, was late or failed: the time that
+	// it took says nothing of how long work takes.
 	Failed bool
 }
 
@@ -101,6 +101,8 @@
 	now  time.Time
 	// shedAt is when the target last refused work.
 	shedAt time.Time
+	// refused is the share of the last calls that found no room.
+	refused float64
 }
 
 // waiting is a queued call.
@@ -111,7 +113,9 @@
 
 // leastWait is the least time after which asking again is worth it. Right
 // after a refusal the same slots are still taken; callers who came back at once
-// would only be refused again, and keep the gate busy with it.
+// would only be refused again, and keep the gate busy with it. What waits is no
+// reason to come later: it is run in the order of the aims, and a caller who
+// comes back late can only be answered late.
 const leastWait = 50 * time.Millisecond
 
 // shareOf is the part of a full queue that one caller may take while others
@@ -188,7 +192,7 @@
 func (g *Gate) refuse(id CallID, k kind.Kind) {
 	r := Refuse{ID: id, Kind: k}
 	if k == kind.Full || k == kind.Limit {
-		r.Wait = max(g.wait(len(g.queue)), leastWait)
+		r.Wait = max(g.wait(0), leastWait)
 		r.After = max(1, int(r.Wait.Round(time.Second)/time.Second))
 	}
 	g.cmds = append(g.cmds, r)
@@ -211,6 +215,7 @@
 		g.refuse(m.ID, kind.Deadline)
 		return
 	case len(g.running) < g.allowed() && len(g.queue) == 0:
+		g.decided(false)
 		g.queue = append(g.queue, waiting{m, g.now})
 		return
 	}
@@ -220,7 +225,9 @@
 			ahead++
 		}
 	}
-	if !g.inTime(m, ahead) {
+	ok := g.inTime(m, ahead)
+	g.decided(!ok)
+	if !ok {
 		g.refuse(m.ID, kind.Full)
 		return
 	}
@@ -240,10 +247,19 @@
 	// workSpread is how many times the usual time is allowed for a call's own
 	// work when it is asked whether it will be in time: work varies, and about
 	// four in five calls end within this.
-	workSpread = 2.5
-	// lateShare is the part of the slots up to which others may be before a call
-	// that can't keep its aim any more. Beyond it, it would only make others late.
-	lateShare = 0.25
+	workSpread = 2.0
+	// leastQueue is how many may wait in any case: with none, a slot that comes
+	// free stays so until the next call happens to arrive.
+	leastQueue = 1
+	// refusedPart is the weight of the newest call in the share that is refused,
+	// so that the share tells of the last twenty calls.
+	refusedPart = 0.05
+	// refusedMost is the share of refused calls from which on nothing queues
+	// beyond leastQueue. There is then always another call for a free slot, and
+	// a queue would only make all that are run later: on a day with half of a
+	// service's targets gone, queues as long as the aims allowed had a third
+	// fewer calls answered within their aim.
+	refusedMost = 0.15
 	// leastWork is the part of the usual time below which a queued call is not
 	// worth starting: it would take a slot and be broken off.
 	leastWork = 0.5
@@ -252,20 +268,34 @@
 // inTime tells whether a call that finds so many others before it is expected
 // to end in time: within its aim, if it has one that is not past already.
 //
-// A queue that is as long as deadlines allow makes every call late once there
-// is more work than slots, while as many are done as with a short one. So the
-// queue is kept as short as the aim asks for, and the rest is told at once.
+// A queue bridges the moments in which calls come faster than slots come free.
+// Where they do so all the time it is never empty, and every call waits in it
+// for nothing: as many are done as without. So the more calls are refused, the
+// less of its time a call may spend waiting, and the rest is told at once.
 func (g *Gate) inTime(m Arrive, ahead int) bool {
-	work := time.Duration(workSpread * float64(g.limit.usual()))
-	ends := g.now.Add(g.wait(ahead) + work)
 	switch {
 	case m.Aim.IsZero():
 		return !g.now.Add(g.wait(ahead)).After(m.Deadline)
-	case m.Aim.After(g.now.Add(work)):
-		return !ends.After(m.Aim)
-	default:
-		return !ends.After(m.Deadline) && float64(ahead) < lateShare*float64(g.allowed())
+	case !m.Aim.After(g.now):
+		// It can only be late, and would make another late too. It gets a slot
+		// that nobody else wants.
+		return false
+	}
+	work := time.Duration(workSpread * float64(g.limit.usual()))
+	if ahead < leastQueue {
+		return !g.now.Add(g.wait(ahead) + g.limit.usual()).After(m.Deadline)
+	}
+	spare := time.Duration((1 - g.refused/refusedMost) * float64(m.Aim.Sub(g.now)-work))
+	return g.wait(ahead) <= spare
+}
+
+// decided counts a call as queued or refused.
+func (g *Gate) decided(refused bool) {
+	x := 0.0
+	if refused {
+		x = 1
 	}
+	g.refused += refusedPart * (x - g.refused)
 }
 
 // startable tells whether a queued call still has the time to be worth a slot.
@@ -335,15 +365,20 @@
 	g.queue = nil
 }
 
-// expire refuses queued calls whose deadline has passed: they did not run.
+// expire refuses queued calls whose deadline has passed, and those that were
+// queued for an aim which is past now: they did not run, and their callers have
+// the time to ask elsewhere.
 func (g *Gate) expire() {
 	kept := g.queue[:0]
 	for _, w := range g.queue {
-		if w.Deadline.After(g.now) {
+		switch {
+		case !w.Deadline.After(g.now):
+			g.refuse(w.ID, kind.Deadline)
+		case w.Aim.After(w.at) && !w.Aim.After(g.now):
+			g.refuse(w.ID, kind.Full)
+		default:
 			kept = append(kept, w)
-			continue
 		}
-		g.refuse(w.ID, kind.Deadline)
 	}
 	g.queue = kept
 }
@@ -388,14 +423,19 @@
 		return a.Priority > b.Priority
 	case g.turn[a.Caller] != g.turn[b.Caller]:
 		return g.turn[a.Caller] < g.turn[b.Caller]
-	case a.Aim.IsZero() || b.Aim.IsZero():
-		return false
+	default:
+		return a.due(g).Before(b.due(g))
 	}
-	aLate, bLate := !a.Aim.After(g.now), !b.Aim.After(g.now)
-	if aLate != bLate {
-		return bLate
+}
+
+// due is by when a queued call should be done: its aim, or if that is past or
+// unknown, as soon as a call that comes now can be.
+func (w *waiting) due(g *Gate) time.Time {
+	soonest := w.at.Add(g.limit.usual())
+	if w.Aim.After(soonest) {
+		return w.Aim
 	}
-	return a.Aim.Before(b.Aim)
+	return soonest
 }
 
 // NextDeadline is when the gate wants its next Tick; zero for not at all.
@@ -403,10 +443,15 @@
 	if len(g.queue) == 0 {
 		return time.Time{}
 	}
-	at := make([]time.Time, 0, len(g.queue))
+	var at time.Time
 	for _, w := range g.queue {
-		at = append(at, w.Deadline)
+		ends := w.Deadline
+		if w.Aim.After(w.at) && w.Aim.Before(ends) {
+			ends = w.Aim
+		}
+		if at.IsZero() || ends.Before(at) {
+			at = ends
+		}
 	}
-	sort.Slice(at, func(i, j int) bool { return at[i].Before(at[j]) })
-	return at[0]
+	return at
 }
--- a/briarrockd/target/limiter.go
+++ b/briarrockd/target/limiter.go
@@ -13,6 +13,9 @@
 	// target that refuses or fails at random, at any load, would otherwise lose
 	// nearly all of its capacity, and with it that of its whole service.
 	floorShare = 0.4
+	// slowFloor is that part where calls have only become slow: that may be the
+	// work's own doing, and fewer slots would then make it no faster.
+	slowFloor = 0.75
 	// slowdown is how many times its duration at low load the mean duration
 	// must reach, at a full limit, for the limit to go down: an announced
 	// number of slots that is too high shows as calls that slow each other.
@@ -59,7 +62,7 @@
 func (l *limiter) ended(now time.Time, m Ended, running, slots int) {
 	full := running >= l.value()
 	if m.Shed {
-		l.lower(now, slots)
+		l.lower(now, floorShare*float64(slots))
 		return
 	}
 	if m.Failed || m.Took <= 0 {
@@ -67,7 +70,7 @@
 	}
 	l.measure(m.Took, float64(running) <= quietShare*l.limit)
 	if full && l.quiet > 0 && l.mean > slowdown*l.quiet {
-		l.lower(now, slots)
+		l.lower(now, slowFloor*float64(slots))
 		return
 	}
 	if full {
@@ -89,10 +92,11 @@
 	l.quiet += time.Duration(quietWeight * float64(took-l.quiet))
 }
 
-func (l *limiter) lower(now time.Time, slots int) {
+// lower takes the limit down by a step, though not below a floor.
+func (l *limiter) lower(now time.Time, floor float64) {
 	if now.Sub(l.shrankAt) < shrinkEvery {
 		return
 	}
 	l.shrankAt = now
-	l.limit = max(1, min(l.limit, floorShare*float64(slots)), l.limit*shrink)
+	l.limit = max(1, min(l.limit, floor), l.limit*shrink)
 }
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -270,11 +270,11 @@
 	if ended.Shed = shed(res); ended.Shed {
 		x.step(ended) // counts now, so that this very answer tells of it
 	}
+	ended.Failed = res.StatusCode >= http.StatusInternalServerError
 	t.tell(c, x, ended.Took, strconv.Itoa(res.StatusCode))
 	_ = x.tellLoad(w.Header())
 	w.Header().Set(kind.HeaderRan, kind.RanYes.String())
 	out = relay.Answer(w, res, t.deps.Stall)
-	ended.Took = time.Since(began)
 	if out.Kind != kind.None {
 		panic(http.ErrAbortHandler)
 	}
