Announcements' news is told in order

Cause: two goroutines could tell the mesh of this host's targets at the same time (an announcement, and the health check of the one before), and the older list could come last: work would go on coming for a target that leaves, until the next change. Found by the race detector in TestAnnouncements. Change: one telling goes after the other. Figures: TestAnnouncements and TestSilent under -race failed before, pass now.

--- a/briarrockd/caller/retry.go
+++ b/briarrockd/caller/retry.go
@@ -344,6 +344,7 @@
 	p.answer(w, c, a, keep)
 	p.deps.Claims.Finish(c.claim, keep.outcome())
 }
+
 func (p *Proxy) replay(w http.ResponseWriter, c *call, o claim.Outcome) {
 	h := w.Header()
 	h.Set(target.HeaderTrace, c.trace)
--- a/briarrockd/target/announce_test.go
+++ b/briarrockd/target/announce_test.go
@@ -48,7 +48,7 @@
 	*Targets
 	health atomic.Int32
 	ran    atomic.Int32
-	told   []peer.Target
+	told   atomic.Pointer[[]peer.Target]
 	stop   func()
 }
 
@@ -67,7 +67,7 @@
 	})})
 	go func() { _ = s.Serve(p) }()
 	h.Targets = New(Deps{
-		Changed:   func(ts []peer.Target) { h.told = ts },
+		Changed:   func(ts []peer.Target) { h.told.Store(&ts) },
 		Crashed:   func(peer.Crashed) {},
 		Suspicion: func(uint64) int { return 0 },
 		Stall:     time.Minute, Dial: p.dial, Silent: 6 * time.Second,
@@ -143,10 +143,10 @@
 				defer h.stop()
 				h.health.Store(x.health)
 				for _, e := range x.events {
-					switch {
-					case e == left:
+					switch e {
+					case left:
 						h.Left("i-1")
-					case e == second:
+					case second:
 						time.Sleep(time.Second)
 					default:
 						c.Assert(h.Heard(said("i-1", e.born, e.seq, e.state)), qt.IsTrue)
@@ -158,7 +158,8 @@
 				if !x.runs {
 					c.Check(k, qt.Equals, kind.Drain)
 				}
-				open := len(h.told) == 1 && !h.told[0].Draining
+				told := *h.told.Load()
+				open := len(told) == 1 && !told[0].Draining
 				c.Check(open, qt.Equals, x.runs)
 			})
 		})
@@ -175,7 +176,7 @@
 		h.Heard(said("i-1", 1, 1, StateUp))
 		time.Sleep(7 * time.Second)
 		synctest.Wait()
-		c.Check(h.told, qt.HasLen, 0)
+		c.Check(*h.told.Load(), qt.HasLen, 0)
 		h.health.Store(http.StatusServiceUnavailable)
 		h.Heard(said("i-1", 1, 2, StateUp))
 		synctest.Wait()
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -103,12 +103,15 @@
 // Targets are the targets on this host. New makes one.
 type Targets struct {
 	deps Deps
-	mu   sync.Mutex
-	all  map[string]*target // by address
-	snap *snapshot.Snapshot
-	gone bool // the node itself is leaving
-	done chan struct{}
-	wg   sync.WaitGroup
+	// telling is held while the mesh is told of a change; mu may be taken
+	// inside it.
+	telling sync.Mutex
+	mu      sync.Mutex
+	all     map[string]*target // by address
+	snap    *snapshot.Snapshot
+	gone    bool // the node itself is leaving
+	done    chan struct{}
+	wg      sync.WaitGroup
 
 	// left are the targets that have said that they leave, by their ID, with
 	// the time of their start.
@@ -290,8 +293,12 @@
 	return ""
 }
 
-// changed tells the mesh which targets there are now.
+// changed tells the mesh which targets there are now. One telling goes after
+// the other: crossed ones would leave the mesh with the older list, and work
+// would go on coming for a target that leaves.
 func (t *Targets) changed() {
+	t.telling.Lock()
+	defer t.telling.Unlock()
 	t.mu.Lock()
 	out := make([]peer.Target, 0, len(t.all))
 	for _, x := range t.all {
