--- a/briarrockd/caller/budget.go
+++ b/briarrockd/caller/budget.go
@@ -53,13 +53,17 @@
 // retry takes one retry out of the budget; false if there is none.
 func (b *Budget) retry(service string) bool { return b.take(service, 1) }
 
-// hedge takes one attempt that may turn out needless out of the budget. It
-// leaves half of it to retries of what has certainly failed.
+// spareForHedge is how much of the budget may be missing for a hedge: retries of
+// what has certainly failed go first.
+const spareForHedge = 0.25
+
+// hedge takes one attempt that may turn out needless out of the budget, if that
+// is nearly full.
 func (b *Budget) hedge(service string) bool {
 	b.mu.Lock()
-	spare := b.most / 2
+	least := b.most - spareForHedge
 	b.mu.Unlock()
-	return b.take(service, max(1, spare))
+	return b.take(service, max(1, least))
 }
 
 func (b *Budget) take(service string, least float64) bool {
--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -112,11 +112,12 @@
 	members []peer.Member
 	prints  map[uint64]int
 
-	used    func(version uint64)
-	leaving atomic.Bool
-	once    sync.Once
-	ctx     context.Context
-	cancel  context.CancelFunc
+	used      func(version uint64)
+	startedAt time.Time
+	leaving   atomic.Bool
+	once      sync.Once
+	ctx       context.Context
+	cancel    context.CancelFunc
 }
 
 // lame is how long a leaving node still takes calls from its own callers and
@@ -129,6 +130,7 @@
 		cfg: cfg, log: d.Log, metrics: metrics.NewSet(),
 		listeners: make(map[string]net.Listener),
 		prints:    make(map[uint64]int),
+		startedAt: time.Now(),
 	}
 	if err := n.loadKeys(); err != nil {
 		return nil, err
@@ -373,8 +375,19 @@
 	return n.prints[mark]
 }
 
-// Ready tells whether the node serves a configuration and is not leaving.
-func (n *Node) Ready() bool { return n.proxy.Table() != nil && !n.leaving.Load() }
+// alone is how long a node that knows nobody else waits for others before it
+// says that it is ready.
+const alone = 2 * time.Second
+
+// Ready tells whether the node serves a configuration and is not leaving. One
+// that has just started and has found nobody yet would only refuse its callers
+// for want of targets.
+func (n *Node) Ready() bool {
+	if n.proxy.Table() == nil || n.leaving.Load() {
+		return false
+	}
+	return n.platform.Watch == nil || n.Known() > 1 || time.Since(n.startedAt) > alone
+}
 
 // Version is the version that callers are served by; 0 before the first.
 func (n *Node) Version() uint64 {
