--- a/mesh/strict/strict.go
+++ b/mesh/strict/strict.go
@@ -12,10 +12,13 @@
 package strict
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"sort"
 	"strings"
 
+	"github.com/pkg/errors"
 	"go.yaml.in/yaml/v3"
 )
 
@@ -69,8 +72,19 @@
 // Parse reads the syntax of a document and returns its root. It is false when
 // there is none, which is noted as a mistake.
 func (c *Reader) Parse(src []byte) (*yaml.Node, bool) {
-	var doc yaml.Node
-	if err := yaml.Unmarshal(src, &doc); err != nil {
+	var doc, second yaml.Node
+	dec := yaml.NewDecoder(bytes.NewReader(src))
+	if err := dec.Decode(&doc); err != nil && !errors.Is(err, io.EOF) {
+		c.addYAML(err)
+		return nil, false
+	}
+	// What stands in a second document would count for nothing, and nobody
+	// would be told.
+	switch err := dec.Decode(&second); {
+	case err == nil:
+		c.Add(&second, "a second document begins here; there must be one only")
+		return nil, false
+	case !errors.Is(err, io.EOF):
 		c.addYAML(err)
 		return nil, false
 	}
--- a/mesh/text/text.go
+++ b/mesh/text/text.go
@@ -84,6 +84,10 @@
 		c.Add(services, "services must be a list")
 		return s
 	}
+	if len(services.Content) == 0 {
+		c.Add(services, "services must list at least one service")
+		return s
+	}
 	s.Services = c.services(services)
 	c.references()
 	c.cycles(s.Services)
