--- a/mesh/event/queue_test.go
+++ b/mesh/event/queue_test.go
@@ -49,7 +49,8 @@
 		missing := 0
 		for _, l := range lines {
 			if strings.Contains(l, "logdropped") {
-				_, err := fmt.Sscanf(l[strings.Index(l, "lines"):], "lines\":%d}", &missing)
+				_, n, _ := strings.Cut(l, `"lines":`)
+				_, err := fmt.Sscanf(n, "%d}", &missing)
 				c.Assert(err, qt.IsNil)
 			}
 		}
