Tests of a Heart that is fed, and of the first node without contacts

Change: TestFed, TestFedBack, TestFirst. Checked: without the pause before a fetch TestFed fails, without the own row TestFirst does.

--- /dev/null
+++ b/briarrockd/peer/fed_test.go
@@ -0,0 +1,121 @@
+package peer
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"briarrock.example/mesh/snapshot"
+)
+
+// fed is a Heart whose node watches the platform itself, with one link.
+func fed(c *qt.C) (*Heart, time.Time) {
+	now := time.Unix(1000, 0)
+	h := New(Config{Self: member("a"), HeadFed: true}, rand.New(rand.NewPCG(1, 1)), now)
+	h.Step(now, LinkUp{Link: 1, Hello: Hello{Member: member("b")}, Addr: "b:1"})
+	c.Assert(h.Links(), qt.Equals, 1)
+	return h, now
+}
+
+// ticks steps a Heart through a time and returns what it did.
+func ticks(h *Heart, now time.Time, d time.Duration) (time.Time, []Cmd) {
+	var out []Cmd
+	for end := now.Add(d); now.Before(end); {
+		now = now.Add(TickEvery)
+		out = append(out, h.Step(now, Tick{})...)
+	}
+	return now, out
+}
+
+func count[T Cmd](cmds []Cmd) int {
+	n := 0
+	for _, x := range cmds {
+		if _, ok := x.(T); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func fetches(cmds []Cmd) int {
+	n := 0
+	for _, x := range cmds {
+		if s, ok := x.(Send); ok {
+			if _, ok := s.Frame.(Fetch); ok {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestFed checks that a Heart which is fed asks the platform for nothing, and
+// its peer only if its own watch has not brought a version that the peer has.
+//
+// Every node watches the platform. If each also sent every version to its
+// neighbours, a change would be packed and sent many times for nothing; if none
+// did, a host that is cut off from the platform would never get it.
+func TestFed(t *testing.T) {
+	c := qt.New(t)
+	h, now := fed(c)
+	b, hash := bytesOf(c, 5)
+	cmds := h.Step(now, Received{1, Notice{5, hash, true}})
+	c.Check(fetches(cmds), qt.Equals, 0)
+	brought := now.Add(hedgeAfter / 2)
+	cmds = h.Step(brought, Committed{Version: 5, Hash: hash, Content: b})
+	now, more := ticks(h, brought, 3*time.Second)
+	cmds = append(cmds, more...)
+	c.Check(used(cmds), qt.DeepEquals, []uint64{5})
+	c.Check(fetches(cmds), qt.Equals, 0)
+	c.Check(count[ReadHead](cmds), qt.Equals, 0)
+
+	// The next one comes from the peer alone: this host is cut off.
+	next := content(c, 6, 6)
+	h.Step(now, Received{1, Notice{6, next.Hash, true}})
+	now, cmds = ticks(h, now, hedgeAfter+2*TickEvery)
+	c.Check(fetches(cmds), qt.Equals, 1)
+	cmds = h.Step(now, Received{1, next})
+	_, more = ticks(h, now, time.Second)
+	cmds = append(cmds, more...)
+	c.Check(used(cmds), qt.DeepEquals, []uint64{6})
+	c.Check(count[ReadObject](cmds), qt.Equals, 0)
+}
+
+// TestFedBack feeds a Heart an older version, as a store that is restored
+// could: what is served stays.
+func TestFedBack(t *testing.T) {
+	c := qt.New(t)
+	h, now := fed(c)
+	for _, v := range []uint64{5, 4} {
+		b, hash := bytesOf(c, int(v))
+		h.Step(now, Committed{Version: v, Hash: hash, Content: b})
+		now, _ = ticks(h, now, time.Second)
+	}
+	got, hash := h.Version()
+	c.Check(got, qt.Equals, uint64(5))
+	_, want := bytesOf(c, 5)
+	c.Check(hash, qt.Equals, want)
+	c.Check(snapshot.Hash{} == hash, qt.IsFalse)
+}
+
+// TestFirst starts a node without contacts where nobody has left any.
+//
+// It is the first of all, or all start at once. It reads the rows at once, since
+// nobody else can tell it of the others, and then leaves its own address; the
+// others find that when they read the rows again.
+func TestFirst(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	h := New(Config{Self: member("a"), HeadFed: true}, rand.New(rand.NewPCG(1, 1)), now)
+	now, cmds := ticks(h, now, joinSpread+2*TickEvery)
+	c.Check(count[ReadContacts](cmds), qt.Equals, 1)
+	c.Check(count[WriteContacts](cmds), qt.Equals, 0)
+	h.Step(now, ContactsRead{})
+	now, cmds = ticks(h, now, TickEvery)
+	c.Check(count[WriteContacts](cmds), qt.Equals, 1)
+	_, cmds = ticks(h, now, 15*time.Second)
+	reads := count[ReadContacts](cmds)
+	c.Check(reads >= 2 && reads <= 4, qt.IsTrue, qt.Commentf("%d", reads))
+}
