--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -17,11 +17,6 @@
 // deadline has passed, since it knows whether the request was sent.
 const deadlineSlack = 50 * time.Millisecond
 
-// keepAnswer bounds the answers that are read whole before any of them is
-// passed on: if one breaks off, the request can still be sent again, and its
-// caller gets a clear failure and not a broken connection.
-const keepAnswer = 64 << 10
-
 // attempt is what one try at a target told.
 type attempt struct {
 	res   *http.Response
@@ -77,7 +72,7 @@
 	if a.kind != kind.None || (streamed && res.ContentLength < 0) {
 		return
 	}
-	if relay.Whole(res, keepAnswer) != nil {
+	if relay.Whole(res, relay.KeepAnswer) != nil {
 		a.res, a.kind, a.ran = nil, kind.Broken, kind.RanUnknown
 	}
 }
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -245,8 +245,8 @@
 // How much of a queue a call may find before it.
 const (
 	// workSpread is how many times the usual time is allowed for a call's own
-	// work when it is asked whether it will be in time: work varies, and about
-	// four in five calls end within this.
+	// work when it is asked whether it will be in time: work varies, and most
+	// calls end within this.
 	workSpread = 2.0
 	// leastQueue is how many may wait in any case: with none, a slot that comes
 	// free stays so until the next call happens to arrive.
@@ -257,8 +257,8 @@
 	// refusedMost is the share of refused calls from which on nothing queues
 	// beyond leastQueue. There is then always another call for a free slot, and
 	// a queue would only make all that are run later: on a day with half of a
-	// service's targets gone, queues as long as the aims allowed had a third
-	// fewer calls answered within their aim.
+	// service's targets gone, queues as long as the aims allowed had a
+	// quarter fewer calls answered within their aim.
 	refusedMost = 0.15
 	// leastWork is the part of the usual time below which a queued call is not
 	// worth starting: it would take a slot and be broken off.
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -230,10 +230,6 @@
 	return text
 }
 
-// keepAnswer bounds the answers that are read whole before any of them goes
-// out: one that breaks off then costs no connection between nodes.
-const keepAnswer = 64 << 10
-
 // run passes a call that the gate has started on to its target.
 func (t *Targets) run(w http.ResponseWriter, r *http.Request, x *target, id CallID, c call) {
 	t.started.Inc()
@@ -252,7 +248,7 @@
 		Deadline: c.deadline, Streamed: relay.IsStreamed(r), Once: c.once,
 	})
 	if res != nil && (res.ContentLength >= 0 || !relay.IsStreamed(r)) {
-		if err := relay.Whole(res, keepAnswer); err != nil {
+		if err := relay.Whole(res, relay.KeepAnswer); err != nil {
 			res, out = nil, relay.Outcome{Kind: kind.Broken, Sent: true, Err: err}
 		}
 	}
