A call whose caller stops in the midst of its body can't hold its slot for good

The goroutine dump shows it: the answer's body was being closed (relay.Answer -> closing.Close), which over HTTP/2 waits until the request's body has been sent, and that was waiting for a caller who sends nothing more. The exchange was cancelled only after the close. Change: it is cancelled first.

--- a/briarrockd/relay/relay.go
+++ b/briarrockd/relay/relay.go
@@ -349,9 +349,11 @@
 
 // Close implements io.Closer.
 func (c *closing) Close() error {
-	err := c.ReadCloser.Close()
+	// The exchange is cancelled first: closing an HTTP/2 answer waits until its
+	// request has been sent, and if the caller has stopped in the midst of its
+	// body that is never. The call would hold its slot for good.
 	c.cancel(nil)
-	return errors.WithStack(err)
+	return errors.WithStack(c.ReadCloser.Close())
 }
 
 // guard is a request's body that gives up when no byte moves for too long.
