--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -24,7 +24,6 @@
 	ran   kind.Ran
 	after time.Duration
 	host  string
-	took  time.Duration
 	// reached is set when the request got to the target, whatever came of it.
 	reached bool
 	cancel  context.CancelFunc
@@ -39,7 +38,6 @@
 // a target's node that it is a failure comes with both, its body unread.
 func (p *Proxy) try(ctx context.Context, c *call, u upstream) attempt {
 	p.attempts.Inc()
-	began := time.Now()
 	body, length := c.payload()
 	res, out := relay.Send(ctx, relay.Call{
 		In: c.r, URL: relay.Toward(&url.URL{Scheme: p.deps.Scheme, Host: u.addr}, c.r), Host: c.r.Host,
@@ -57,7 +55,6 @@
 			a.ran = kind.RanNo
 		}
 	}
-	a.took = time.Since(began)
 	p.deps.Chooser.done(time.Now(), c.service.Name, u.host, a.feedback(out))
 	return a
 }
--- a/briarrockd/caller/budget.go
+++ b/briarrockd/caller/budget.go
@@ -1,9 +1,6 @@
 package caller
 
-import (
-	"math"
-	"sync"
-)
+import "sync"
 
 // The retry budget.
 const (
@@ -33,7 +30,7 @@
 func (b *Budget) Share(all float64, nodes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.most = math.Min(most, math.Max(1, all/float64(max(nodes, 1))))
+	b.most = min(most, max(1, all/float64(max(nodes, 1))))
 }
 
 // call counts a first attempt.
--- a/briarrockd/caller/retry.go
+++ b/briarrockd/caller/retry.go
@@ -240,8 +240,8 @@
 	return now
 }
 
-// hedgeShare is the part of the time that the route aims at, or else of its
-// deadline, after which a second target is asked as well. Most work ends well
+// hedgeAim is the part of the time that the route aims at, and hedgeDeadline that
+// of its deadline where it has no aim, after which a second target is asked as well. Most work ends well
 // before; an answer that was lost, or a target that has stopped, costs the
 // caller this long and not its whole deadline.
 const (
