--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"briarrock.example/briarrockd/http1"
 	"briarrock.example/briarrockd/relay"
 	"briarrock.example/briarrockd/target"
 	"briarrock.example/mesh/kind"
@@ -17,6 +18,11 @@
 // deadline has passed, since it knows whether the request was sent.
 const deadlineSlack = 50 * time.Millisecond
 
+// expectAbove is the length in bytes of a body that is held back until the
+// target's node asks for it. A shorter one is on its way in less time than the
+// question takes.
+const expectAbove = 16 << 10
+
 // attempt is what one try at a target told.
 type attempt struct {
 	res   *http.Response
@@ -109,6 +115,9 @@
 	if !c.aim.IsZero() {
 		h.Set(target.HeaderAim, strconv.FormatInt(time.Until(c.aim).Milliseconds(), 10))
 	}
+	if c.r.ContentLength < 0 || c.r.ContentLength > expectAbove {
+		h.Set("Expect", http1.Continue)
+	}
 	if c.caller != "" {
 		h.Set(target.HeaderCaller, c.caller)
 	}
--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -113,6 +113,7 @@
 	table    *Table
 	entry    string // name of the entry that it came by, if any
 	service  *service
+	set      []upstream // the service's targets by the table
 	route    snapshot.Route
 	caller   string
 	began    time.Time
@@ -176,6 +177,7 @@
 	if k := c.find(); k != kind.None {
 		return c, refusal{kind: k}
 	}
+	c.set = c.table.sets[c.service.Name]
 	var ok bool
 	c.caller, ok = p.deps.Caller(r.Header)
 	if !ok || !c.route.Allows(c.caller) {
@@ -186,7 +188,7 @@
 		return c, refusal{kind: kind.Request}
 	}
 	p.setAim(c)
-	if len(c.service.set) == 0 {
+	if len(c.set) == 0 {
 		return c, refusal{kind: kind.Empty, after: emptyAfter}
 	}
 	if k := p.readBody(c); k != kind.None {
--- a/briarrockd/caller/choose_test.go
+++ b/briarrockd/caller/choose_test.go
@@ -59,9 +59,9 @@
 	ms[1].Targets[0].Draining = true
 	ms = append(ms, peer.Member{Host: "x", Targets: []peer.Target{{Service: "unknown"}}})
 	tab := table(ms)
-	c.Check(tab.services["orderdesk"].set, qt.HasLen, 10)
+	c.Check(tab.sets["orderdesk"], qt.HasLen, 10)
 	// A service without any target has an empty set, not none.
-	c.Check(tab.services["ledgerline"].set, qt.Not(qt.IsNil))
+	c.Check(tab.sets["ledgerline"], qt.Not(qt.IsNil))
 	for _, x := range []struct {
 		method, path, want string
 	}{
@@ -79,7 +79,7 @@
 
 func TestNearFirst(t *testing.T) {
 	c := qt.New(t)
-	set := table(members()).services["orderdesk"].set
+	set := table(members()).sets["orderdesk"]
 	ch := NewChooser("northgate", "north-line", 1)
 	now := time.Unix(100, 0)
 	c.Check(count(ch, set, 100, now, Feedback{}), qt.DeepEquals, map[string]int{"northgate": 100})
@@ -98,7 +98,7 @@
 // mesh whose targets are all well. At least half of it stays in use.
 func TestEjection(t *testing.T) {
 	c := qt.New(t)
-	set := table(members()).services["orderdesk"].set
+	set := table(members()).sets["orderdesk"]
 	ch := NewChooser("northgate", "north-line", 1)
 	now := time.Unix(100, 0)
 	for range ejectAfter {
@@ -125,7 +125,7 @@
 // more, and that a set of only such ones is empty.
 func TestLeaving(t *testing.T) {
 	c := qt.New(t)
-	set := table(members()).services["orderdesk"].set[:2]
+	set := table(members()).sets["orderdesk"][:2]
 	ch := NewChooser("northgate", "north-line", 1)
 	now := time.Unix(100, 0)
 	ch.done(now, "orderdesk", set[0].host, Feedback{Load: -1, Leaving: true})
--- a/briarrockd/caller/explain.go
+++ b/briarrockd/caller/explain.go
@@ -25,7 +25,7 @@
 		return refused(e, kind.Service)
 	}
 	e.Service, e.Slots, e.Queue = svc.Name, svc.Slots, svc.Queue
-	for _, x := range svc.set {
+	for _, x := range t.sets[svc.Name] {
 		e.Upstreams = append(e.Upstreams, api.Upstream{Host: x.host, Domain: x.domain, Region: x.region, Slots: x.slots})
 	}
 	if method == "" {
@@ -40,7 +40,7 @@
 	if !r.Allows(caller) {
 		return refused(e, kind.Caller)
 	}
-	if len(svc.set) == 0 {
+	if len(e.Upstreams) == 0 {
 		return refused(e, kind.Empty)
 	}
 	return e
--- a/briarrockd/caller/story.go
+++ b/briarrockd/caller/story.go
@@ -33,7 +33,7 @@
 	}
 	if c.service != nil {
 		f["service"] = c.service.Name
-		f["upstreams"] = len(c.service.set)
+		f["upstreams"] = len(c.set)
 	}
 	if c.entry != "" {
 		f["entry"] = c.entry
--- a/briarrockd/caller/table.go
+++ b/briarrockd/caller/table.go
@@ -17,20 +17,28 @@
 // whole and then swapped in by one pointer, and a call keeps the one that it
 // began with, so that no call sees half of a change.
 type Table struct {
+	*routing
+	madeAt time.Time
+	// sets are the targets of each service of the version. A listed service
+	// without target has an empty set: its calls are told that they did not run.
+	sets map[string][]upstream
+}
+
+// routing is the part of a table that only the version decides. Tables that
+// differ in their targets alone share it: making it anew for each change of a
+// member would cost a version of 2,700 entries a megabyte each time.
+type routing struct {
 	version  uint64
-	madeAt   time.Time
 	services map[string]*service
 	// hosts are the entries by host name, longest prefix first.
 	hosts  map[string][]*entry
 	limits snapshot.Limits
 }
 
-// service is one service of a table. Its set is never nil: a route whose
-// service has no target finds an empty set, and answers that it did not run.
+// service is one service of a version.
 type service struct {
 	*snapshot.Service
 	routes []snapshot.Route // longest path first
-	set    []upstream
 }
 
 // upstream is one target in a service's set, by the node that answers for it.
@@ -43,7 +51,7 @@
 	cold   bool
 }
 
-// entry is one entry of a table with the services that it leads to.
+// entry is one entry of a version with the services that it leads to.
 type entry struct {
 	*snapshot.Entry
 	services []*service
@@ -62,35 +70,50 @@
 // service that the version doesn't list is left out, a listed service without
 // open target gets an empty set.
 func NewTable(version uint64, s *snapshot.Snapshot, members []peer.Member) *Table {
-	t := &Table{
-		version: version, madeAt: time.Now(), limits: s.Limits,
+	return newRouting(version, s).with(members)
+}
+
+// With returns a table of the same version with other members.
+func (t *Table) With(members []peer.Member) *Table { return t.with(members) }
+
+func newRouting(version uint64, s *snapshot.Snapshot) *routing {
+	r := &routing{
+		version: version, limits: s.Limits,
 		services: make(map[string]*service, len(s.Services)),
 		hosts:    make(map[string][]*entry),
 	}
 	for i := range s.Services {
 		svc := &s.Services[i]
-		t.services[svc.Name] = &service{Service: svc, routes: byLength(svc.Routes), set: []upstream{}}
+		r.services[svc.Name] = &service{Service: svc, routes: byLength(svc.Routes)}
 	}
 	for i := range s.Entries {
-		t.enter(&s.Entries[i])
+		r.enter(&s.Entries[i])
 	}
-	for _, list := range t.hosts {
+	for _, list := range r.hosts {
 		slices.SortStableFunc(list, func(a, b *entry) int { return len(b.Route.Path) - len(a.Route.Path) })
 	}
-	for i := range members {
-		t.add(&members[i])
-	}
-	return t
+	return r
 }
 
-func (t *Table) enter(e *snapshot.Entry) {
-	x := &entry{Entry: e}
+func (r *routing) enter(e *snapshot.Entry) {
+	x := &entry{Entry: e, services: make([]*service, 0, len(e.Parts))}
 	for _, p := range e.Parts {
-		x.services = append(x.services, t.services[p.Service])
+		x.services = append(x.services, r.services[p.Service])
 		x.total += p.Weight
 	}
 	x.turn.Store(rand.Uint64())
-	t.hosts[e.Host] = append(t.hosts[e.Host], x)
+	r.hosts[e.Host] = append(r.hosts[e.Host], x)
+}
+
+func (r *routing) with(members []peer.Member) *Table {
+	t := &Table{routing: r, madeAt: time.Now(), sets: make(map[string][]upstream, len(r.services))}
+	for name := range r.services {
+		t.sets[name] = []upstream{}
+	}
+	for i := range members {
+		t.add(&members[i])
+	}
+	return t
 }
 
 func (t *Table) add(m *peer.Member) {
@@ -102,7 +125,7 @@
 		if svc == nil || x.Draining {
 			continue
 		}
-		svc.set = append(svc.set, upstream{
+		t.sets[x.Service] = append(t.sets[x.Service], upstream{
 			host: m.Host, addr: m.Call, domain: m.Domain, region: m.Region,
 			slots: min(x.Slots, svc.Slots), cold: x.Cold,
 		})
--- a/briarrockd/http1/link.go
+++ b/briarrockd/http1/link.go
@@ -39,6 +39,11 @@
 	// it could not be.
 	written  chan struct{}
 	writeErr error
+	// decided is closed when the other side has asked for the body (wanted) or
+	// has shown that it doesn't need it; only requests with Expect wait for it.
+	decided chan struct{}
+	wanted  bool
+	once    sync.Once
 	// passed gets whether another request may follow the answer.
 	passed chan bool
 	stop   func() bool
@@ -51,7 +56,46 @@
 }
 
 func newTrip(req *http.Request) *trip {
-	return &trip{req: req, answer: make(chan answer, 1), written: make(chan struct{}), passed: make(chan bool, 1)}
+	x := &trip{
+		req: req, answer: make(chan answer, 1), written: make(chan struct{}),
+		passed: make(chan bool, 1), decided: make(chan struct{}),
+	}
+	if req.Header.Get("Expect") == Continue && req.Body != nil {
+		req.Body = &expecting{req.Body, x}
+	}
+	return x
+}
+
+// decide notes whether the other side wants the body. Only the first word
+// counts.
+func (x *trip) decide(wanted bool) {
+	x.once.Do(func() {
+		x.wanted = wanted
+		close(x.decided)
+	})
+}
+
+// Continue is the value of the header Expect by which a request's body is held
+// back until the other side asks for it. A long body that would be refused then
+// takes no bandwidth, and its request can go elsewhere.
+const Continue = "100-continue"
+
+// errUnwanted ends the writing of a request whose body was not asked for.
+var errUnwanted = errors.New("http1: the body was not asked for")
+
+// expecting is a body that is held back until it is asked for.
+type expecting struct {
+	io.ReadCloser
+	x *trip
+}
+
+// Read implements io.Reader.
+func (b *expecting) Read(p []byte) (int, error) {
+	<-b.x.decided
+	if !b.x.wanted {
+		return 0, errUnwanted
+	}
+	return b.ReadCloser.Read(p) //nolint:wrapcheck // io.EOF must pass as it is
 }
 
 // link is one connection of a pool. Its goroutine reads all answers, and so
@@ -216,11 +260,12 @@
 			l.failed(x, err)
 			return
 		}
-		res, err := l.readAnswer(x.req)
+		res, err := l.readAnswer(x)
 		if err != nil {
 			l.failed(x, err)
 			return
 		}
+		x.decide(false)
 		x.answer <- answer{res: res}
 		if !<-x.passed {
 			l.close(ErrClosed)
@@ -231,14 +276,16 @@
 
 func (l *link) failed(x *trip, err error) {
 	l.close(err)
+	x.decide(false)
 	x.answer <- answer{err: l.reason()}
 }
 
 // readAnswer reads the answer to a request. One that belongs to another
 // request is dropped: its sender has answered twice, or too late.
-func (l *link) readAnswer(req *http.Request) (*http.Response, error) {
+func (l *link) readAnswer(x *trip) (*http.Response, error) {
+	req := x.req
 	for range maxStrangers {
-		res, err := l.readOne(req)
+		res, err := l.readOne(x)
 		if err != nil {
 			return nil, err
 		}
@@ -260,10 +307,10 @@
 }
 
 // readOne reads one final answer.
-func (l *link) readOne(req *http.Request) (*http.Response, error) {
+func (l *link) readOne(x *trip) (*http.Response, error) {
 	for {
 		l.head.armed, l.head.left = true, maxAnswerHead
-		res, err := http.ReadResponse(l.br, req)
+		res, err := http.ReadResponse(l.br, x.req)
 		l.head.armed = false
 		if err != nil {
 			return nil, errors.WithStack(err)
@@ -272,6 +319,9 @@
 			l.keepFor(res)
 			return res, nil
 		}
+		if res.StatusCode == http.StatusContinue {
+			x.decide(true)
+		}
 	}
 }
 
--- a/briarrockd/http1/pool_test.go
+++ b/briarrockd/http1/pool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -265,3 +266,68 @@
 	close(end)
 	c.Check(<-done, qt.IsNil)
 }
+
+// TestExpect sends long bodies that the other side wants, refuses, and never
+// answers to.
+//
+// A body that is refused must not take any bandwidth, nor be taken for the next
+// request on its connection; one that nobody asks for must not keep its request
+// from ending with its caller.
+func TestExpect(t *testing.T) {
+	c := qt.New(t)
+	var asked atomic.Int32
+	addr := other(c, func(_ int, nc net.Conn, br *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			asked.Add(1)
+			name := req.Header.Get("Name")
+			switch name {
+			case "wanted":
+				_, _ = io.WriteString(nc, "HTTP/1.1 100 Continue\r\n\r\n")
+				b, _ := io.ReadAll(req.Body)
+				_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nName: wanted\r\nContent-Length: 3\r\n\r\n%03d", len(b)%1000)
+			case "refused":
+				_, _ = io.WriteString(nc, "HTTP/1.1 503 No\r\nName: refused\r\nContent-Length: 2\r\n\r\nno")
+				n, _ := io.Copy(io.Discard, br)
+				if n != 0 {
+					t.Errorf("%d bytes of a body that was refused", n)
+				}
+				return
+			default:
+				_, _ = io.Copy(io.Discard, br)
+				return
+			}
+		}
+	})
+	p := pool(http1.PoolConfig{})
+	post := func(ctx context.Context, name string) (string, error) {
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/", struct{ io.Reader }{strings.NewReader(strings.Repeat("x", 70123))})
+		req.ContentLength = 70123
+		req.Header.Set("Name", name)
+		req.Header.Set("Expect", http1.Continue)
+		return do(p, req)
+	}
+	for range 3 {
+		body, err := post(context.Background(), "wanted")
+		c.Assert(err, qt.IsNil)
+		c.Check(body, qt.Equals, "123")
+		body, err = post(context.Background(), "refused")
+		c.Assert(err, qt.IsNil)
+		c.Check(body, qt.Equals, "no")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := post(ctx, "never")
+		ended <- err
+	}()
+	for asked.Load() < 7 {
+		runtime.Gosched()
+	}
+	cancel()
+	c.Check(<-ended, qt.IsNotNil)
+	p.Close()
+}
--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -71,6 +71,7 @@
 	transport transport
 	budget    *caller.Budget
 	platform  Platform
+	follow    *Follow
 	wg        sync.WaitGroup
 
 	// mu guards what the next table is made of.
@@ -181,7 +182,7 @@
 		Crashed:   func(c peer.Crashed) { n.tell(c) },
 		Suspicion: n.suspicion,
 		Log:       n.log, Metrics: n.metrics, Stall: n.cfg.Stall,
-		Dialect: n.platform.Targets, Belongs: n.platform.Belongs, Silent: n.platform.Silent, NoTurns: n.platform.Caller != "",
+		Dialect: n.platform.Targets, Belongs: n.platform.Belongs, Silent: n.platform.Silent, Link: n.platform.Link, NoTurns: n.platform.Caller != "",
 	})
 	n.claims = claim.New(claim.Deps{Store: st, Log: n.log, Host: n.cfg.Host, Metrics: n.metrics, Forward: n.handClaims})
 	n.transport = n.newTransport(d.HTTP1, d.Dial)
@@ -193,10 +194,11 @@
 		Caller: n.callerName(), Log: n.log, Metrics: n.metrics, Stall: n.cfg.Stall,
 		Hedge: d.Platform != nil,
 	})
+	n.follow = newFollow(n.tell, n.log)
 	n.peers = peer.NewLinks(n.peerConfig(), peer.Deps{
 		Store: st, Log: n.log, Metrics: n.metrics, Keys: n.peerKeys(), Listener: n.listeners[peers], Seed: rand.Uint64(),
 		Dial: d.Dial, Claims: n.claims.Serve,
-		Hooks: peer.Hooks{Use: n.use, Publish: n.publish, Held: n.held},
+		Hooks: peer.Hooks{Use: n.use, Publish: n.publish, Held: n.held, Watch: n.follow.set},
 	})
 	n.operators = operator.New(operator.Deps{
 		Host: n.cfg.Host, Store: st, Peers: n.peers, Log: n.log, Metrics: n.metrics,
@@ -208,7 +210,7 @@
 	n.metrics.GetOrCreateGauge("briarrock_members", func() float64 { return float64(n.Known()) })
 	n.serveAll(d)
 	if watch := n.platform.Watch; watch != nil {
-		n.wg.Go(func() { watch(n.ctx, n.offer) })
+		n.wg.Go(func() { watch(n.ctx, n.follow) })
 	}
 }
 
@@ -300,9 +302,14 @@
 
 // retable makes a table of the newest version and members and swaps it in.
 func (n *Node) retable() {
-	if n.snap != nil {
-		n.proxy.Use(caller.NewTable(n.version, n.snap, n.members))
+	if n.snap == nil {
+		return
+	}
+	if t := n.proxy.Table(); t != nil && t.Version() == n.version {
+		n.proxy.Use(t.With(n.members))
+		return
 	}
+	n.proxy.Use(caller.NewTable(n.version, n.snap, n.members))
 }
 
 func (n *Node) held(h peer.Held) {
--- a/briarrockd/node/platform.go
+++ b/briarrockd/node/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"briarrock.example/briarrockd/peer"
@@ -14,9 +15,9 @@
 // Platform is what a platform's adapter brings along: translations at the
 // node's edges. Fields that are nil leave the edge as it is.
 type Platform struct {
-	// Watch tells of each version that the platform holds, until ctx ends. The
-	// node then reads no versions by itself.
-	Watch func(ctx context.Context, tell func(Version))
+	// Watch looks at the platform when it is this node's turn, until ctx ends.
+	// The node then reads no versions by itself.
+	Watch func(ctx context.Context, f *Follow)
 	// Callers wraps the handler of callers' requests.
 	Callers func(http.Handler) http.Handler
 	// Targets wraps the connections to targets.
@@ -33,6 +34,8 @@
 	// Lame is how long a stopping node still serves its callers, until they
 	// have been sent elsewhere; 0 for the usual time.
 	Lame time.Duration
+	// Link is the bandwidth of the host's link in bytes a second; 0 if unknown.
+	Link float64
 	// Retries is how many retries all nodes together may have saved up.
 	Retries float64
 }
@@ -41,6 +44,10 @@
 type Version struct {
 	Number   uint64
 	Snapshot *snapshot.Snapshot
+	// Seen is the position in the platform's record of changes up to which this
+	// is the newest, At the time of the look.
+	Seen uint64
+	At   time.Time
 }
 
 // limits are the bounds for callers of the version in use.
@@ -55,12 +62,61 @@
 	n.log.Emit(event.Panicked, event.Fields{"panic": v, "stack": string(stack)})
 }
 
-// offer takes a version from the platform's watch.
-func (n *Node) offer(v Version) {
+// Follow is a node's side of its watch of the platform.
+type Follow struct {
+	tell func(peer.Msg)
+	log  *event.Log
+
+	mu      sync.Mutex
+	turn    peer.Watch
+	changed chan struct{} // closed when turn changes
+}
+
+func newFollow(tell func(peer.Msg), log *event.Log) *Follow {
+	return &Follow{tell: tell, log: log, changed: make(chan struct{})}
+}
+
+// set takes the Heart's decision.
+func (f *Follow) set(w peer.Watch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.turn = w
+	close(f.changed)
+	f.changed = make(chan struct{})
+	f.log.Emit(event.WatchTurn, event.Fields{"on": w.On, "spare": w.Spare, "seen": w.Seen, "wait": w.Wait.Milliseconds()})
+}
+
+// Turn waits until this node is to look at the platform, and says how. It
+// returns false when ctx ends.
+func (f *Follow) Turn(ctx context.Context) (peer.Watch, bool) {
+	for {
+		f.mu.Lock()
+		turn, changed := f.turn, f.changed
+		f.mu.Unlock()
+		if ctx.Err() != nil {
+			return turn, false
+		}
+		if turn.On {
+			return turn, true
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+// Tell passes on a version that was found.
+func (f *Follow) Tell(v Version) {
 	b, err := snapshot.Encode(v.Snapshot)
 	if err != nil {
-		n.log.Emit(event.VersionRefused, event.Fields{event.Subject: "platform", "version": v.Number, "error": err.Error()})
+		f.log.Emit(event.VersionRefused, event.Fields{event.Subject: "platform", "version": v.Number, "error": err.Error()})
 		return
 	}
-	n.tell(peer.Committed{Version: v.Number, Hash: snapshot.Sum(b), Content: b})
+	f.tell(peer.Committed{Version: v.Number, Hash: snapshot.Sum(b), Content: b, Seen: v.Seen, At: v.At})
+}
+
+// Looked says that a look found nothing newer than what was told.
+func (f *Follow) Looked(seen uint64, at time.Time) {
+	f.tell(peer.Looked{Seen: seen, At: at})
 }
--- /dev/null
+++ b/briarrockd/peer/duty.go
@@ -0,0 +1,149 @@
+package peer
+
+import "time"
+
+// Who watches the platform, where the platform's adapter does the reading.
+//
+// Of a large domain only the first few members watch. A whole configuration for
+// each node would fill the links, between regions above all: 40 copies of
+// 100 KB take half a second of 60 Mbit/s, and a storm of changes brings several a
+// second. The others get versions from their peers as differences, and hear
+// from them how long ago the platform was last looked at. A node that hears
+// nothing recent looks itself, so there is no duty to hand over: the loss of all
+// watchers costs lapseAfter, well within the time in which a change must be in
+// force.
+const (
+	// watchers is the number of members of a domain that watch as a rule: the
+	// bridges, from which the tree starts.
+	watchers = bridges
+	// wholeDomain is the size up to which all of a domain's members watch, each
+	// for itself: so few copies cost less than the talk that saves them.
+	wholeDomain = 4
+	// watchLong is how long one question waits for a change where all watch. A
+	// longer one costs fewer calls; a connection that goes silent is found by
+	// its probes meanwhile.
+	watchLong = 10 * time.Second
+	// watchShort is the same for the watchers of a large domain: others count on
+	// the news that there is nothing new.
+	watchShort = time.Second
+	// lapseAfter is the age of the newest look, as peers tell, from which on a
+	// node looks itself: one watchShort and the way here through the tree.
+	// lapseSpread is added by the place in the domain, so that the first to
+	// look spare the others.
+	lapseAfter  = 1500 * time.Millisecond
+	lapseSpread = 500 * time.Millisecond
+	// lapseKeep is how long a node that has begun to look goes on, so that two
+	// of them don't make each other stop and lapse again in turns.
+	lapseKeep = 5 * time.Second
+	// peersFirst is the time that a starting node gives its peers to send it the
+	// version in use, before it reads the whole from the platform.
+	peersFirst = 500 * time.Millisecond
+	// freshStep is by how much a look must be newer than the one that was told
+	// last to be told: two watchers together bring no more than three a second.
+	freshStep = 300 * time.Millisecond
+	// fetchEvery is the least time between two versions that are fetched from
+	// peers: in a storm of changes a small node would do nothing else.
+	fetchEvery = 250 * time.Millisecond
+)
+
+// duty is this node's part in watching the platform.
+type duty struct {
+	now Watch
+	// told is set once a Watch has been given out.
+	told bool
+	// until is how long a node that looks since nobody else did goes on.
+	until time.Time
+	// heardAt is the time of the newest look that peers have told of.
+	heardAt time.Time
+	// passedAt is the time of the newest look that was told to peers.
+	passedAt time.Time
+}
+
+// allWatch tells whether each node of this domain watches for itself.
+func (h *Heart) allWatch() bool {
+	return len(h.table.members(h.self.Domain)) <= wholeDomain
+}
+
+// tickDuty decides whether this node is to look at the platform, and how.
+func (h *Heart) tickDuty() {
+	if !h.cfg.HeadFed {
+		return
+	}
+	w := h.dutyNow()
+	d := &h.watch.duty
+	if d.told && w.On == d.now.On && w.Wait == d.now.Wait && w.Spare == d.now.Spare {
+		return
+	}
+	d.now, d.told = w, true
+	h.do(w)
+}
+
+func (h *Heart) dutyNow() Watch {
+	w := Watch{On: true, Seen: h.watch.seen}
+	i := h.position()
+	switch {
+	case !h.version.ready:
+		w.On = h.version.number > 0 || h.now.Sub(h.watch.startedAt) >= peersFirst
+	case h.allWatch():
+		w.Wait = watchLong
+	case i >= 0 && i < watchers:
+		w.Wait = watchShort
+	default:
+		w.Wait, w.Spare = watchShort, true
+		w.On = h.lapsed(i)
+	}
+	return w
+}
+
+// lapsed tells whether nobody else seems to look at the platform.
+func (h *Heart) lapsed(position int) bool {
+	d := &h.watch.duty
+	place := time.Duration(max(position, 0) - watchers)
+	spread := lapseSpread * max(place, 0) / time.Duration(len(h.table.members(h.self.Domain))+1)
+	if h.now.Sub(d.heardAt) > lapseAfter+spread {
+		d.until = h.now.Add(lapseKeep)
+	}
+	return h.now.Before(d.until)
+}
+
+// looked takes this node's own look at the platform, which found nothing newer
+// than what it has told.
+func (h *Heart) looked(m Looked) {
+	h.watch.seen = max(h.watch.seen, m.Seen)
+	h.headIs(h.version.number, m.At)
+	h.passFresh(0)
+}
+
+// fresh takes a peer's word of a look at the platform.
+func (h *Heart) fresh(l *link, f Fresh) {
+	h.heardFresh(look{version: f.Version, seen: f.Seen, at: h.ago(f.Age)})
+	h.passFresh(l.id)
+}
+
+// passFresh tells the domain of a look that is newer than the one told last.
+func (h *Heart) passFresh(from LinkID) {
+	w := &h.watch
+	if !h.cfg.HeadFed || w.freshAt.Sub(w.duty.passedAt) < freshStep || h.allWatch() {
+		return
+	}
+	w.duty.passedAt = w.freshAt
+	for _, l := range h.sortedLinks() {
+		if l.id != from && l.domain == h.self.Domain {
+			h.send(l, Fresh{h.version.number, w.seen, age(h.now, w.freshAt)})
+		}
+	}
+}
+
+// fetchAt is from when on a version that a peer has may be asked for.
+func (h *Heart) fetchAt() time.Time {
+	switch {
+	case !h.cfg.HeadFed || !h.version.ready:
+		return h.now
+	case h.watch.duty.now.On:
+		// This node's own watch has most likely seen the version too. A peer is
+		// asked only if it has not come by then.
+		return h.now.Add(hedgeAfter)
+	default:
+		return h.version.stagedAt.Add(fetchEvery)
+	}
+}
--- /dev/null
+++ b/briarrockd/peer/duty_test.go
@@ -0,0 +1,158 @@
+package peer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// large is a fed Heart in a domain of n members, linked to the two that watch
+// there, with version 1 in use.
+func large(c *qt.C, n int) (*Heart, time.Time) {
+	now := time.Unix(1000, 0)
+	hosts := make([]string, 0, n)
+	for i := range n {
+		hosts = append(hosts, fmt.Sprintf("h%02d", i))
+	}
+	probe := newTable()
+	for _, host := range hosts {
+		probe.put(now, member(host))
+	}
+	order := probe.members("erie-a")
+	self := order[n-1].Host
+	h := New(Config{Self: member(self), HeadFed: true}, rand.New(rand.NewPCG(1, 1)), now)
+	for i := range watchers {
+		m := member(order[i].Host)
+		h.Step(now, LinkUp{Link: LinkID(i + 1), Hello: Hello{Member: m}, Addr: m.Peer})
+	}
+	for _, host := range hosts {
+		h.Step(now, Received{1, Records{[]Member{member(host)}}})
+	}
+	b, hash := bytesOf(c, 1)
+	h.Step(now, Committed{Version: 1, Hash: hash, Content: b, Seen: 10, At: now})
+	c.Assert(h.Members(), qt.Equals, n)
+	return h, now
+}
+
+// beats steps a Heart while its first peer tells of looks at the platform.
+func beats(h *Heart, now time.Time, d time.Duration, f Fresh) (time.Time, []Cmd) {
+	var out []Cmd
+	for end := now.Add(d); now.Before(end); {
+		out = append(out, h.Step(now, Received{1, f})...)
+		var cmds []Cmd
+		now, cmds = ticks(h, now, watchShort)
+		out = append(out, cmds...)
+	}
+	return now, out
+}
+
+func watchOf(cmds []Cmd) (Watch, bool) {
+	var last Watch
+	found := false
+	for _, x := range cmds {
+		if w, ok := x.(Watch); ok {
+			last, found = w, true
+		}
+	}
+	return last, found
+}
+
+// TestDuty takes one node of a large domain from hearing of others' looks, to
+// hearing of none, and back.
+//
+// While the watchers are there it asks the platform for nothing. When both are
+// gone no change would reach it, and no error would say so; it then looks by
+// itself soon enough for a change to be in force in time, from the position that
+// it has, so that only what is new is read.
+func TestDuty(t *testing.T) {
+	c := qt.New(t)
+	h, now := large(c, 25)
+	now, cmds := beats(h, now, 10*time.Second, Fresh{1, 40, 20})
+	w, ok := watchOf(cmds)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(w.On, qt.IsFalse)
+
+	quiet := now
+	for ok = false; !ok || !w.On; {
+		now, cmds = ticks(h, now, TickEvery)
+		w, ok = watchOf(cmds)
+		c.Assert(now.Sub(quiet) <= lapseAfter+lapseSpread, qt.IsTrue)
+	}
+	c.Check(now.Sub(quiet) >= lapseAfter-watchShort, qt.IsTrue)
+	c.Check(w, qt.Equals, Watch{On: true, Seen: 40, Wait: watchShort, Spare: true})
+
+	_, cmds = beats(h, now, lapseKeep+2*time.Second, Fresh{1, 41, 20})
+	w, ok = watchOf(cmds)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(w.On, qt.IsFalse)
+}
+
+// TestDutyBehind has peers tell of a version that this node has not got.
+//
+// Their looks say nothing of the version that it serves: counted at once they
+// would keep it from looking by itself while it is behind. They count when the
+// version has come.
+func TestDutyBehind(t *testing.T) {
+	c := qt.New(t)
+	h, now := large(c, 25)
+	now, cmds := beats(h, now, 4*time.Second, Fresh{2, 50, 20})
+	w, _ := watchOf(cmds)
+	c.Check(w.On, qt.IsTrue)
+	c.Check(w.Seen, qt.Equals, uint64(10))
+	next := content(c, 2, 2)
+	h.Step(now, Received{1, Notice{2, next.Hash, true}})
+	now, _ = ticks(h, now, hedgeAfter+2*TickEvery)
+	h.Step(now, Received{1, Fresh{2, 50, 20}})
+	h.Step(now, Received{1, next})
+	c.Check(h.watch.seen, qt.Equals, uint64(50))
+}
+
+// TestDutyFetch has a peer tell of a version to a node that does not watch.
+//
+// Nothing else will bring the version, so it is asked for at once; the next one
+// that follows closely waits a little, so that a storm of changes leaves a small
+// node the time for its calls.
+func TestDutyFetch(t *testing.T) {
+	c := qt.New(t)
+	h, now := large(c, 25)
+	now, _ = beats(h, now, 10*time.Second, Fresh{1, 40, 20})
+	next := content(c, 2, 2)
+	c.Check(fetches(h.Step(now, Received{1, Notice{2, next.Hash, true}})), qt.Equals, 1)
+	h.Step(now, Received{1, next})
+	after := content(c, 3, 3)
+	c.Check(fetches(h.Step(now, Received{1, Notice{3, after.Hash, true}})), qt.Equals, 0)
+	_, cmds := ticks(h, now, fetchEvery+2*TickEvery)
+	c.Check(fetches(cmds), qt.Equals, 1)
+}
+
+// TestDutyStart starts a node among peers that serve already.
+//
+// It takes the version from them at once, and confirms by one small look at the
+// platform that it is the newest, before it serves; without peers it reads the
+// whole by itself, though not before they have had a moment to answer.
+func TestDutyStart(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	h := New(Config{Self: member("a"), HeadFed: true}, rand.New(rand.NewPCG(1, 1)), now)
+	now, cmds := ticks(h, now, TickEvery)
+	w, _ := watchOf(cmds)
+	c.Check(w.On, qt.IsFalse)
+	next := content(c, 7, 7)
+	cmds = h.Step(now, LinkUp{Link: 1, Hello: Hello{Member: member("b"), Version: 7, Hash: next.Hash, Seen: 30, Fresh: 100}, Addr: "b:1"})
+	c.Check(fetches(cmds), qt.Equals, 1)
+	h.Step(now, Received{1, next})
+	now, cmds = ticks(h, now, TickEvery)
+	w, _ = watchOf(cmds)
+	c.Check(w, qt.Equals, Watch{On: true, Seen: 30})
+	c.Check(h.Ready(), qt.IsFalse)
+	h.Step(now, Looked{Seen: 31, At: now})
+	c.Check(h.Ready(), qt.IsTrue)
+
+	h = New(Config{Self: member("a"), HeadFed: true}, rand.New(rand.NewPCG(1, 1)), now)
+	_, cmds = ticks(h, now, peersFirst+2*TickEvery)
+	w, _ = watchOf(cmds)
+	c.Check(w, qt.Equals, Watch{On: true})
+}
--- a/briarrockd/peer/fabric_test.go
+++ b/briarrockd/peer/fabric_test.go
@@ -486,7 +486,7 @@
 			then(f.storeDelay(x), func() platform.Action { return c.AuditRead(row, err) })
 		case platform.Finish:
 			if a.Outcome == platform.Accepted {
-				f.tell(x, Committed{a.Audit.Version, hash, b})
+				f.tell(x, Committed{Version: a.Audit.Version, Hash: hash, Content: b})
 			}
 			done(a)
 		}
--- a/briarrockd/peer/fed_test.go
+++ b/briarrockd/peer/fed_test.go
@@ -60,7 +60,10 @@
 func TestFed(t *testing.T) {
 	c := qt.New(t)
 	h, now := fed(c)
-	b, hash := bytesOf(c, 5)
+	b, hash := bytesOf(c, 4)
+	h.Step(now, Committed{Version: 4, Hash: hash, Content: b})
+	now, _ = ticks(h, now, time.Second)
+	b, hash = bytesOf(c, 5)
 	cmds := h.Step(now, Received{1, Notice{5, hash, true}})
 	c.Check(fetches(cmds), qt.Equals, 0)
 	brought := now.Add(hedgeAfter / 2)
--- a/briarrockd/peer/floor.go
+++ b/briarrockd/peer/floor.go
@@ -148,5 +148,6 @@
 		return
 	}
 	v.ready = true
+	h.watch.duty.heardAt = later(h.watch.duty.heardAt, h.now)
 	h.serve()
 }
--- a/briarrockd/peer/frame.go
+++ b/briarrockd/peer/frame.go
@@ -33,6 +33,9 @@
 	Domain uint64 `cbor:"8,keyasint,omitempty"`
 	// Lazy asks that this link carries news only as a reserve.
 	Lazy bool `cbor:"7,keyasint,omitempty"`
+	// Seen is the position in the platform's record of changes up to which the
+	// sender's version is the newest; 0 if it doesn't know.
+	Seen uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Beat is the heartbeat of a link. It carries just enough to notice that the
@@ -41,6 +44,15 @@
 	Root    uint64 `cbor:"1,keyasint"`
 	Version uint64 `cbor:"2,keyasint,omitempty"`
 	Fresh   uint64 `cbor:"3,keyasint,omitempty"`
+	Seen    uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Fresh floods within a domain: how long ago the platform was looked at, and
+// which version was the newest then.
+type Fresh struct {
+	Version uint64 `cbor:"1,keyasint,omitempty"`
+	Seen    uint64 `cbor:"2,keyasint,omitempty"` // as in Hello
+	Age     uint64 `cbor:"3,keyasint"`           // milliseconds
 }
 
 // DomainDigest is the digest of one domain's part of the table.
@@ -168,6 +180,7 @@
 	codeHold
 	codeKnown
 	codeHave
+	codeFresh
 )
 
 func (Hello) code() byte   { return codeHello }
@@ -184,6 +197,7 @@
 func (Hold) code() byte    { return codeHold }
 func (Known) code() byte   { return codeKnown }
 func (Have) code() byte    { return codeHave }
+func (Fresh) code() byte   { return codeFresh }
 
 // Bounds of the lists in frames.
 const (
@@ -243,6 +257,8 @@
 		return decode(b[1:], func(f Hold) bool { return len(f.Service) <= maxNameSize })
 	case codeHave:
 		return decode(b[1:], func(Have) bool { return true })
+	case codeFresh:
+		return decode(b[1:], func(Fresh) bool { return true })
 	case codeKnown:
 		return decode(b[1:], func(Known) bool { return true })
 	default:
--- a/briarrockd/peer/gossip.go
+++ b/briarrockd/peer/gossip.go
@@ -153,7 +153,7 @@
 }
 
 func (h *Heart) beat(l *link, f Beat) {
-	h.heardFresh(f.Fresh, f.Version)
+	h.heardFresh(look{version: f.Version, seen: f.Seen, at: h.ago(f.Fresh)})
 	h.sawUse(l, f.Version)
 	h.heardOutside(l, f.Version)
 	l.version = max(l.version, f.Version)
--- a/briarrockd/peer/links.go
+++ b/briarrockd/peer/links.go
@@ -53,6 +53,8 @@
 	Use     func(Use)
 	Publish func(Publish)
 	Held    func(Held)
+	// Watch may be nil where the Heart reads the head itself.
+	Watch func(Watch)
 }
 
 // Links is the shell around a Heart: it owns the goroutines and sockets. Make
@@ -216,6 +218,8 @@
 		s.hooks.Publish(c)
 	case Held:
 		s.hooks.Held(c)
+	case Watch:
+		s.hooks.Watch(c)
 	case Log:
 		s.log.Emit(c.Event, c.Fields)
 	}
--- a/briarrockd/peer/message.go
+++ b/briarrockd/peer/message.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"briarrock.example/mesh/event"
 	"briarrock.example/mesh/snapshot"
 )
@@ -60,11 +62,25 @@
 // ContactsRead is the answer to ReadContacts.
 type ContactsRead struct{ Addrs []string }
 
-// Committed says that this node has put a version into the head.
+// Committed says that a version is in the head: this node has put it there, or
+// its watch has seen it.
 type Committed struct {
 	Version uint64
 	Hash    snapshot.Hash
 	Content []byte
+	// Seen and At are those of the look that found it, as in Looked; 0 if this
+	// node has put it there.
+	Seen uint64
+	At   time.Time
+}
+
+// Looked says that this node's watch has found nothing newer than it has told.
+type Looked struct {
+	// Seen is the position in the platform's record of changes up to which
+	// there was nothing else.
+	Seen uint64
+	// At is the time for which that holds.
+	At time.Time
 }
 
 // Crashed says that a request was in flight when a target of this node
@@ -88,6 +104,7 @@
 func (ObjectRead) msg()     {}
 func (ContactsRead) msg()   {}
 func (Committed) msg()      {}
+func (Looked) msg()         {}
 func (Crashed) msg()        {}
 func (Leave) msg()          {}
 
@@ -119,6 +136,18 @@
 // ReadHead asks for the head row; the answer is HeadRead.
 type ReadHead struct{}
 
+// Watch says whether this node is to look at the platform from now on, and how.
+type Watch struct {
+	On bool
+	// Seen is the position in the platform's record of changes up to which this
+	// node holds everything; 0 if it doesn't know.
+	Seen uint64
+	// Wait is how long one look waits for a change; 0 for an answer at once.
+	Wait time.Duration
+	// Spare is set where this node looks only since nobody else seems to.
+	Spare bool
+}
+
 // ReadObject asks the platform for a snapshot; the answer is ObjectRead.
 type ReadObject struct{ Hash snapshot.Hash }
 
@@ -157,6 +186,7 @@
 func (Close) cmd()         {}
 func (Send) cmd()          {}
 func (ReadHead) cmd()      {}
+func (Watch) cmd()         {}
 func (ReadObject) cmd()    {}
 func (ReadContacts) cmd()  {}
 func (WriteContacts) cmd() {}
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -90,9 +90,9 @@
 	// Hosts is about how many nodes the mesh has. A node that starts together
 	// with all the others can't know it otherwise.
 	Hosts int
-	// HeadFed is set where each node watches the platform itself and tells its
-	// Heart of every version (Committed). The Heart then reads nothing, and
-	// peers are the way for those that are cut off from the platform.
+	// HeadFed is set where the platform's adapter does the reading: the Heart
+	// says who is to look (Watch) and is told what was found (Committed,
+	// Looked). It then reads nothing itself.
 	HeadFed bool
 }
 
@@ -208,6 +208,8 @@
 		h.contactsRead(m.Addrs)
 	case Committed:
 		h.committed(m)
+	case Looked:
+		h.looked(m)
 	case Crashed:
 		h.crashed(m)
 	case Leave:
@@ -234,6 +236,7 @@
 	h.tickMembers()
 	h.tickVersion()
 	h.tickWatch()
+	h.tickDuty()
 	h.tickContacts()
 	h.tickReport()
 	h.tickHolds()
@@ -288,6 +291,8 @@
 		h.have(l, f)
 	case Known:
 		h.knownOutside(l.id, f.Version)
+	case Fresh:
+		h.fresh(l, f)
 	default:
 		// A second Hello on an open link is of no use to an honest peer.
 		h.log(event.PeerGarbage, event.Fields{event.Subject: l.host})
@@ -301,6 +306,7 @@
 		Version: h.version.number,
 		Hash:    h.version.hash,
 		Fresh:   age(h.now, h.watch.freshAt),
+		Seen:    h.watch.seen,
 	}
 	if l != nil {
 		hi.Lazy = l.lazy
--- a/briarrockd/peer/push.go
+++ b/briarrockd/peer/push.go
@@ -17,8 +17,8 @@
 		return
 	}
 	out := h.version.outside >= h.version.number || l.domain != h.self.Domain
-	// Where every node watches the platform, the peer is about to have the
-	// version: the notice of it is enough.
+	// Where the platform's adapter reads, the peer may watch as well and be about
+	// to have the version: the notice of it is enough, and who wants it asks.
 	if h.cfg.HeadFed || !h.push(l, number, out) {
 		h.send(l, Notice{h.version.number, h.version.hash, out})
 	}
--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -352,7 +352,7 @@
 func (h *Heart) greeted(l *link, hi Hello) {
 	h.reincarnate(hi.Known)
 	h.learn(l.id, hi.Member)
-	h.heardFresh(hi.Fresh, hi.Version)
+	h.heardFresh(look{version: hi.Version, seen: hi.Seen, at: h.ago(hi.Fresh)})
 	h.raiseFloor(hi.Floor)
 	h.raiseFloor(hi.Domain)
 	h.sawUse(l, hi.Version)
@@ -404,7 +404,7 @@
 			continue
 		}
 		l.beatAt = h.now.Add(beatEvery)
-		h.send(l, Beat{Root: h.table.digestRoot(), Version: h.version.number, Fresh: age(h.now, h.watch.freshAt)})
+		h.send(l, Beat{Root: h.table.digestRoot(), Version: h.version.number, Fresh: age(h.now, h.watch.freshAt), Seen: h.watch.seen})
 	}
 }
 
--- a/briarrockd/peer/version.go
+++ b/briarrockd/peer/version.go
@@ -9,8 +9,11 @@
 
 const (
 	// keepVersions is how many versions' contents a node keeps, to make
-	// differences from and to answer peers that are behind.
+	// differences from and to answer peers that are behind, keepBytes how many
+	// bytes of them at most beside the newest two: eight of 400 KB would be the
+	// largest thing in a node's memory.
 	keepVersions = 8
+	keepBytes    = 512 << 10
 	// hedgeAfter is how long a fetch may take before another source is asked.
 	hedgeAfter = 400 * time.Millisecond
 	// lazyAfter is how much later a lazy link is told of a version.
@@ -106,12 +109,20 @@
 	}
 	v.content[hash] = b
 	v.kept = append(v.kept, hash)
-	if len(v.kept) > keepVersions {
+	for len(v.kept) > keepVersions || (len(v.kept) > 2 && v.keptBytes() > keepBytes) {
 		delete(v.content, v.kept[0])
 		v.kept = v.kept[1:]
 	}
 }
 
+func (v *versions) keptBytes() int {
+	n := 0
+	for _, b := range v.content {
+		n += len(b)
+	}
+	return n
+}
+
 // distrust gives up a version above the head: the head is the authority, and
 // a number that it has not reached can only have come from a peer in error.
 func (v *versions) distrust(head uint64) {
@@ -156,15 +167,15 @@
 		h.arrived(number, hash, b)
 		return
 	}
-	switch {
-	case w.asked:
-	case h.cfg.HeadFed:
-		// This node's own watch has most likely seen the version too. A peer is
-		// asked, by askLate, if it has not come after hedgeAfter.
-		w.asked, w.askedAt, w.tries = true, h.now, 1
-	default:
-		h.ask()
+	if w.asked {
+		return
 	}
+	if at := h.fetchAt(); at.After(h.now) {
+		// As if it had been asked for then in vain: askLate goes on from there.
+		w.asked, w.askedAt, w.tries = true, at.Add(-hedgeAfter), 1
+		return
+	}
+	h.ask()
 }
 
 // ask asks the next source for the wanted version, in the end the store.
@@ -317,7 +328,13 @@
 
 func (h *Heart) committed(m Committed) {
 	h.arrived(m.Version, m.Hash, m.Content)
-	h.headIs(m.Version, h.now)
+	at := m.At
+	if at.IsZero() {
+		at = h.now
+	}
+	h.watch.seen = max(h.watch.seen, m.Seen)
+	h.headIs(m.Version, at)
+	h.passFresh(0)
 }
 
 // arrived verifies a version and, if it is whole and newer, puts it into use.
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -39,10 +39,12 @@
 	freshAt time.Time
 	// own is set once a read of this node itself has counted.
 	own bool
-	// ahead is a version that the head named and that has not arrived, with
-	// the time of that read.
-	ahead   uint64
-	aheadAt time.Time
+	// ahead is a look that named a version which has not arrived.
+	ahead look
+	// seen is the position in the platform's record of changes up to which this
+	// node holds everything; 0 where that is not known or not used.
+	seen    uint64
+	duty    duty
 	nextAt  time.Time
 	reading bool
 	readAt  time.Time
@@ -53,20 +55,61 @@
 	return watch{startedAt: now, nextAt: now.Add(spread)}
 }
 
-// heardFresh takes a peer's word for how long ago the head was read. The age
-// counts from the peer's sending, so the way here only makes it look younger
-// by the delay of one message, which the thresholds are far above.
+// look is one look at the head, by this node or another one.
+type look struct {
+	version uint64 // the newest version at that time
+	seen    uint64 // position in the platform's record of changes
+	at      time.Time
+	own     bool
+}
+
+// ago is the time that a peer says was so many milliseconds ago; zero for 0,
+// which stands for never. The age counts from the peer's sending, so the way
+// here only makes it look younger by the delay of one message, which the
+// thresholds are far above.
+func (h *Heart) ago(ms uint64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return h.now.Add(-time.Duration(ms) * time.Millisecond)
+}
+
+// heardFresh takes a peer's word of a look at the head.
 //
 // The peer's version is at least the head of that time, so the word counts
 // only once this node has that version too.
-func (h *Heart) heardFresh(ms, version uint64) {
-	if ms == 0 || version > h.version.number {
+func (h *Heart) heardFresh(k look) {
+	if k.at.IsZero() || k.at.After(h.now) {
 		return
 	}
-	at := h.now.Add(-time.Duration(ms) * time.Millisecond)
-	if at.After(h.watch.freshAt) && !at.After(h.now) {
-		h.watch.freshAt = at
+	if k.version > h.version.number {
+		if k.at.After(h.watch.ahead.at) {
+			h.watch.ahead = k
+		}
+		return
 	}
+	h.counts(k)
+}
+
+// counts takes in a look whose version this node has.
+func (h *Heart) counts(k look) {
+	w := &h.watch
+	if k.at.After(w.freshAt) {
+		w.freshAt = k.at
+	}
+	w.seen = max(w.seen, k.seen)
+	if k.own {
+		w.own = true
+		return
+	}
+	w.duty.heardAt = later(w.duty.heardAt, k.at)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // threshold is how old the last read may be before this node reads itself.
@@ -143,8 +186,7 @@
 	}
 	h.version.distrust(m.Version)
 	if m.Version > h.version.number {
-		w.ahead = m.Version
-		w.aheadAt = w.readAt
+		w.ahead = look{version: m.Version, at: w.readAt, own: true}
 		h.headAhead(m.Version, m.Hash)
 		return
 	}
@@ -157,24 +199,19 @@
 	if h.version.number < version {
 		return
 	}
-	if at.After(h.watch.freshAt) {
-		h.watch.freshAt = at
-	}
-	h.watch.own = true
+	h.counts(look{version: version, at: at, own: true})
 	h.becomeReady()
 }
 
-// caughtUp lets a read count once the version that it named has arrived.
+// caughtUp lets a look count once the version that it named has arrived.
 func (h *Heart) caughtUp() {
-	w := &h.watch
-	if w.ahead == 0 || h.version.number < w.ahead {
+	k := h.watch.ahead
+	if k.version == 0 || h.version.number < k.version {
 		return
 	}
-	if w.aheadAt.After(w.freshAt) {
-		w.freshAt = w.aheadAt
-	}
-	w.own = true
-	w.ahead = 0
+	h.watch.ahead = look{}
+	h.counts(k)
+	h.passFresh(0)
 }
 
 func (h *Heart) headFailed(err error) {
--- a/briarrockd/target/announce.go
+++ b/briarrockd/target/announce.go
@@ -217,7 +217,7 @@
 			Dial: relay.Dialer(dialTimeout, t.deps.Dial), Idle: idleTimeout,
 			Most: a.Connections, Belongs: t.deps.Belongs,
 		}),
-		gate:    NewGate(Limits{Slots: a.Slots, Queue: 2 * a.Slots}),
+		gate:    NewGate(Limits{Slots: a.Slots, Queue: 2 * a.Slots, Link: t.deps.Link}),
 		waiters: make(map[CallID]chan Cmd),
 	}
 	x.transport = x.pool
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -21,11 +21,16 @@
 	Deadline time.Time
 	// Aim is when the answer loses most of its worth; zero if nobody says.
 	Aim time.Time
+	// Body is the length of the request's body in bytes, -1 if not known.
+	Body int64
 }
 
 // Gone is a call whose caller went away while it was queued.
 type Gone struct{ ID CallID }
 
+// Taken says that the body of a call that was started has come in.
+type Taken struct{ ID CallID }
+
 // Ended is a call that was started and is now at its end.
 type Ended struct {
 	ID CallID
@@ -44,6 +49,8 @@
 	Queue int
 	// Cold is set for a target that has just started.
 	Cold bool
+	// Link is the bandwidth of the host's link in bytes a second; 0 if not known.
+	Link float64
 }
 
 // Drain says that the target leaves: what runs may end, nothing else starts.
@@ -54,6 +61,7 @@
 
 func (Arrive) msg() {}
 func (Gone) msg()   {}
+func (Taken) msg()  {}
 func (Ended) msg()  {}
 func (Limits) msg() {}
 func (Drain) msg()  {}
@@ -91,6 +99,7 @@
 	queueMax int
 	draining bool
 	limit    limiter
+	bodies   bodies
 
 	running map[CallID]time.Time
 	queue   []waiting
@@ -138,6 +147,8 @@
 		g.arrive(m)
 	case Gone:
 		g.remove(m.ID)
+	case Taken:
+		g.bodies.taken(m.ID)
 	case Ended:
 		g.ended(m)
 	case Limits:
@@ -158,6 +169,7 @@
 // counts as taken.
 func (g *Gate) Load() float64 {
 	load := float64(len(g.running)+len(g.queue)) / float64(g.allowed())
+	load = max(load, g.bodies.load(g.now, g.queuedBytes(nil)))
 	if !g.shedAt.IsZero() && g.now.Sub(g.shedAt) < shedFor {
 		load += shedLoad
 	}
@@ -186,6 +198,7 @@
 		g.limit.reset(l.Slots, l.Cold)
 	}
 	g.slots = max(1, l.Slots)
+	g.bodies.link = l.Link
 	g.queueMax = max(0, l.Queue)
 }
 
@@ -214,18 +227,13 @@
 	case !m.Deadline.After(g.now):
 		g.refuse(m.ID, kind.Deadline)
 		return
-	case len(g.running) < g.allowed() && len(g.queue) == 0:
+	case g.fits(&m):
+		// What is queued then waits for the link, and not for a slot.
 		g.decided(false)
 		g.queue = append(g.queue, waiting{m, g.now})
 		return
 	}
-	ahead := 0
-	for i := range g.queue {
-		if !g.sooner(&waiting{m, g.now}, &g.queue[i]) {
-			ahead++
-		}
-	}
-	ok := g.inTime(m, ahead)
+	ok := g.inTime(m)
 	g.decided(!ok)
 	if !ok {
 		g.refuse(m.ID, kind.Full)
@@ -265,17 +273,18 @@
 	leastWork = 0.5
 )
 
-// inTime tells whether a call that finds so many others before it is expected
-// to end in time: within its aim, if it has one that is not past already.
+// inTime tells whether a call is expected to end in time: within its aim, if it
+// has one that is not past already.
 //
 // A queue bridges the moments in which calls come faster than slots come free.
 // Where they do so all the time it is never empty, and every call waits in it
 // for nothing: as many are done as without. So the more calls are refused, the
 // less of its time a call may spend waiting, and the rest is told at once.
-func (g *Gate) inTime(m Arrive, ahead int) bool {
+func (g *Gate) inTime(m Arrive) bool {
+	ahead, wait := g.expected(m)
 	switch {
 	case m.Aim.IsZero():
-		return !g.now.Add(g.wait(ahead)).After(m.Deadline)
+		return !g.now.Add(wait).After(m.Deadline)
 	case !m.Aim.After(g.now):
 		// It can only be late, and would make another late too. It gets a slot
 		// that nobody else wants.
@@ -283,10 +292,46 @@
 	}
 	work := time.Duration(workSpread * float64(g.limit.usual()))
 	if ahead < leastQueue {
-		return !g.now.Add(g.wait(ahead) + g.limit.usual()).After(m.Deadline)
+		return !g.now.Add(wait + g.limit.usual()).After(m.Deadline)
 	}
 	spare := time.Duration((1 - g.refused/refusedMost) * float64(m.Aim.Sub(g.now)-work))
-	return g.wait(ahead) <= spare
+	return wait <= spare
+}
+
+// expected is how many calls go before one that arrives, and how long it is
+// expected to be queued: for a slot if none is free, and for the link if its
+// body has to wait for others.
+func (g *Gate) expected(m Arrive) (ahead int, wait time.Duration) {
+	own := waiting{m, g.now}
+	for i := range g.queue {
+		if !g.sooner(&own, &g.queue[i]) {
+			ahead++
+		}
+	}
+	if len(g.running) >= g.allowed() {
+		wait = g.wait(ahead)
+	}
+	if g.bodies.long(&m) {
+		wait += g.bodies.wait(g.queuedBytes(&own))
+	}
+	return ahead, wait
+}
+
+// queuedBytes are the long bodies of the queued calls that go before one, or of
+// all of them.
+func (g *Gate) queuedBytes(before *waiting) int64 {
+	n := int64(0)
+	for i := range g.queue {
+		if g.bodies.long(&g.queue[i].Arrive) && (before == nil || !g.sooner(before, &g.queue[i])) {
+			n += g.bodies.size(&g.queue[i].Arrive)
+		}
+	}
+	return n
+}
+
+// fits tells whether a call can be started now.
+func (g *Gate) fits(a *Arrive) bool {
+	return len(g.running) < g.allowed() && g.bodies.room(a)
 }
 
 // decided counts a call as queued or refused.
@@ -351,6 +396,7 @@
 	}
 	running := len(g.running)
 	delete(g.running, m.ID)
+	g.bodies.taken(m.ID)
 	g.limit.ended(g.now, m, running, g.slots)
 }
 
@@ -385,8 +431,11 @@
 
 // start lets queued calls run while there are slots.
 func (g *Gate) start() {
-	for len(g.queue) > 0 && len(g.running) < g.allowed() {
+	for len(g.running) < g.allowed() {
 		i := g.next()
+		if i < 0 {
+			break
+		}
 		w := g.queue[i]
 		g.queue = append(g.queue[:i], g.queue[i+1:]...)
 		if !g.startable(w) {
@@ -394,6 +443,7 @@
 			continue
 		}
 		g.running[w.ID] = g.now
+		g.bodies.begin(g.now, &w.Arrive)
 		g.turn[w.Caller]++
 		g.cmds = append(g.cmds, Start{w.ID})
 	}
@@ -402,11 +452,13 @@
 	}
 }
 
-// next is the queued call to run.
+// next is the queued call to run, -1 if there is none: the first of those whose
+// body the link has room for. Short ones don't wait for a link that they hardly
+// use.
 func (g *Gate) next() int {
-	best := 0
-	for i := 1; i < len(g.queue); i++ {
-		if g.sooner(&g.queue[i], &g.queue[best]) {
+	best := -1
+	for i := range g.queue {
+		if g.bodies.room(&g.queue[i].Arrive) && (best < 0 || g.sooner(&g.queue[i], &g.queue[best])) {
 			best = i
 		}
 	}
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -165,7 +165,7 @@
 		return
 	}
 	relay.Duplex(w, r)
-	arrive := Arrive{Caller: c.caller, Priority: c.priority, Deadline: c.deadline, Aim: c.aim}
+	arrive := Arrive{Caller: c.caller, Priority: c.priority, Deadline: c.deadline, Aim: c.aim, Body: r.ContentLength}
 	if t.deps.NoTurns {
 		arrive.Caller = ""
 	}
@@ -244,7 +244,7 @@
 	}
 	res, out := relay.Send(ctx, relay.Call{
 		In: r, URL: relay.Toward(x.url, r), Host: r.Host, Add: t.towardsTarget(r, x, c),
-		Body: body(r), Length: r.ContentLength, Transport: x.transport, Stall: t.deps.Stall,
+		Body: body(r, func() { x.step(Taken{id}) }), Length: r.ContentLength, Transport: x.transport, Stall: t.deps.Stall,
 		Deadline: c.deadline, Streamed: relay.IsStreamed(r), Once: c.once,
 	})
 	if res != nil && (res.ContentLength >= 0 || !relay.IsStreamed(r)) {
@@ -306,11 +306,28 @@
 	}, plain)
 }
 
-func body(r *http.Request) io.Reader {
+// body is a request's body, nil for none. taken is called at its end.
+func body(r *http.Request, taken func()) io.Reader {
 	if r.ContentLength == 0 {
 		return nil
 	}
-	return r.Body
+	return &taking{r.Body, taken}
+}
+
+// taking is a body that tells when it has come in.
+type taking struct {
+	io.Reader
+	taken func()
+}
+
+// Read implements io.Reader.
+func (t *taking) Read(p []byte) (int, error) {
+	n, err := t.Reader.Read(p)
+	if err != nil && t.taken != nil {
+		t.taken()
+		t.taken = nil
+	}
+	return n, err //nolint:wrapcheck // io.EOF must pass as it is
 }
 
 // shed tells whether a target's answer is a refusal for load.
--- a/mesh/event/event.go
+++ b/mesh/event/event.go
@@ -51,6 +51,7 @@
 	VersionRefused  = Event{202, "refused", logrus.WarnLevel}
 	VersionOld      = Event{203, "old", logrus.WarnLevel}
 	VersionNotFound = Event{204, "notfound", logrus.WarnLevel}
+	WatchTurn       = Event{205, "watch", logrus.InfoLevel}
 	LinkUp          = Event{301, "linkup", logrus.DebugLevel}
 	LinkDown        = Event{302, "linkdown", logrus.DebugLevel}
 	PeerRefused     = Event{303, "peerrefused", logrus.WarnLevel}
@@ -84,7 +85,7 @@
 func All() []Event {
 	return []Event{
 		Started, Stopping, Stopped, KeysLoaded, KeysBad, Library, LogDropped, Reloaded, Panicked,
-		VersionInUse, VersionRefused, VersionOld, VersionNotFound,
+		VersionInUse, VersionRefused, VersionOld, VersionNotFound, WatchTurn,
 		LinkUp, LinkDown, PeerRefused, PeerGarbage, MemberSuspect, MemberDead, MemberLeft, DomainStale,
 		StoreDown, StoreUp,
 		CallFailed, TargetUp, TargetGone, TargetCrashed, RequestHeld, ClaimLost,
--- a/mesh/snapshot/delta.go
+++ b/mesh/snapshot/delta.go
@@ -16,12 +16,13 @@
 // holds. With an empty base it compresses b alone.
 //
 // The base serves as a raw zstd dictionary, so that an edit of one line costs
-// some tens of bytes whatever the size of the text. docs/design/delta.md has
-// the figures of the other ways.
+// some tens of bytes whatever the size of the text. The level and the small
+// tables keep the memory that it takes at 3 MB for 1,200 entries; the next level
+// takes 9 MB for the same bytes. docs/design/delta.md has the other ways.
 func Pack(base, b []byte) ([]byte, error) {
 	opts := []zstd.EOption{
-		zstd.WithEncoderLevel(zstd.SpeedBetterCompression),
-		zstd.WithEncoderConcurrency(1),
+		zstd.WithEncoderLevel(zstd.SpeedDefault),
+		zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true),
 		zstd.WithWindowSize(windowFor(len(base) + len(b))),
 		zstd.WithEncoderCRC(false),
 	}
