A question for a body has its own time to be written

Cause: the server wrote 100 Continue under the write deadline of the answer before. The log now says why an attempt broke (cause), which showed it.

Ruled out: limits of the new configuration (none of them applies between nodes), targets that close (the entry saw the end first).

Also: the first look of a node that looks since nobody else does is answered at once, and a version that comes counts as a look: 58 nodes lapsed together after each pause behind a change.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -33,6 +33,8 @@
 	// reached is set when the request got to the target, whatever came of it.
 	reached bool
 	cancel  context.CancelFunc
+	// err is why there is no answer, for the log.
+	err error
 }
 
 // failure tells whether the target answered that it failed.
@@ -51,7 +53,7 @@
 		Deadline: c.deadline.Add(deadlineSlack), Streamed: c.streamed,
 		Once: c.route.Mode == snapshot.Once,
 	})
-	a := attempt{res: res, host: u.host, kind: out.Kind}
+	a := attempt{res: res, host: u.host, kind: out.Kind, err: out.Err}
 	if res != nil {
 		a.read(res, c.streamed)
 	} else {
--- a/briarrockd/caller/retry.go
+++ b/briarrockd/caller/retry.go
@@ -145,6 +145,7 @@
 	}
 	if a.kind != kind.None || a.failure() {
 		c.story.step("got", a.host, a.kind)
+		c.story.cause = a.err
 	}
 	if a.kind == kind.None && a.res != nil && !a.failure() {
 		x.leave()
--- a/briarrockd/caller/story.go
+++ b/briarrockd/caller/story.go
@@ -11,6 +11,8 @@
 // story is what is told of a call in the log: the decisions along its way.
 type story struct {
 	steps []string
+	// cause is the error of the attempt that failed last without an answer.
+	cause error
 }
 
 // step notes a decision. Most calls have one; the slice stays small.
@@ -41,6 +43,9 @@
 	if len(c.story.steps) > 0 {
 		f["way"] = strings.Join(c.story.steps, ", ")
 	}
+	if c.story.cause != nil {
+		f["cause"] = c.story.cause.Error()
+	}
 	if !c.deadline.IsZero() {
 		f["left"] = time.Until(c.deadline).Milliseconds()
 	}
--- a/briarrockd/http1/exchange.go
+++ b/briarrockd/http1/exchange.go
@@ -270,6 +270,7 @@
 	if b.x.wrote || !b.x.awaitTurn() {
 		return false
 	}
+	_ = b.x.c.nc.SetWriteDeadline(time.Now().Add(writeWithin))
 	_, err := b.x.c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
 	b.x.fail(err)
 	b.x.fail(b.x.c.bw.Flush())
--- a/briarrockd/peer/duty.go
+++ b/briarrockd/peer/duty.go
@@ -31,7 +31,7 @@
 	// lapseSpread is added by the place in the domain, so that the first to
 	// look spare the others.
 	lapseAfter  = 1500 * time.Millisecond
-	lapseSpread = 500 * time.Millisecond
+	lapseSpread = 600 * time.Millisecond
 	// lapseKeep is how long a node that has begun to look goes on, so that two
 	// of them don't make each other stop and lapse again in turns.
 	lapseKeep = 5 * time.Second
@@ -53,8 +53,10 @@
 	told bool
 	// until is how long a node that looks since nobody else did goes on.
 	until time.Time
-	// heardAt is the time of the newest look that peers have told of.
+	// heardAt is the time of the newest look that peers have told of, ownAt
+	// that of this node's own newest.
 	heardAt time.Time
+	ownAt   time.Time
 	// passedAt is the time of the newest look that was told to peers.
 	passedAt time.Time
 }
@@ -89,8 +91,12 @@
 	case i >= 0 && i < watchers:
 		w.Wait = watchShort
 	default:
-		w.Wait, w.Spare = watchShort, true
+		w.Spare = true
 		w.On = h.lapsed(i)
+		if h.now.Sub(h.watch.duty.ownAt) < lapseAfter {
+			// The first look is answered at once, and spares the others theirs.
+			w.Wait = watchShort
+		}
 	}
 	return w
 }
@@ -100,7 +106,8 @@
 	d := &h.watch.duty
 	place := time.Duration(max(position, 0) - watchers)
 	spread := lapseSpread * max(place, 0) / time.Duration(len(h.table.members(h.self.Domain))+1)
-	if h.now.Sub(d.heardAt) > lapseAfter+spread {
+	// A version that has come says as well that somebody looks.
+	if h.now.Sub(later(d.heardAt, h.version.stagedAt)) > lapseAfter+spread {
 		d.until = h.now.Add(lapseKeep)
 	}
 	return h.now.Before(d.until)
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -100,6 +100,7 @@
 	w.seen = max(w.seen, k.seen)
 	if k.own {
 		w.own = true
+		w.duty.ownAt = later(w.duty.ownAt, k.at)
 		return
 	}
 	w.duty.heardAt = later(w.duty.heardAt, k.at)
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -255,7 +255,7 @@
 	ended.Took = time.Since(began)
 	if res == nil {
 		ended.Failed = out.Kind == kind.Broken || out.Kind == kind.Late
-		t.tell(c, x, ended.Took, string(out.Kind))
+		t.tell(c, x, ended.Took, string(out.Kind), out.Err)
 		t.failed(w, x, c, out)
 		return
 	}
@@ -267,7 +267,7 @@
 		x.step(ended) // counts now, so that this very answer tells of it
 	}
 	ended.Failed = res.StatusCode >= http.StatusInternalServerError
-	t.tell(c, x, ended.Took, strconv.Itoa(res.StatusCode))
+	t.tell(c, x, ended.Took, strconv.Itoa(res.StatusCode), nil)
 	_ = x.tellLoad(w.Header())
 	w.Header().Set(kind.HeaderRan, kind.RanYes.String())
 	out = relay.Answer(w, res, t.deps.Stall)
@@ -298,12 +298,16 @@
 const shedAgain = 50 * time.Millisecond
 
 // tell writes the line of a call that ran.
-func (t *Targets) tell(c call, x *target, took time.Duration, outcome string) {
+func (t *Targets) tell(c call, x *target, took time.Duration, outcome string, cause error) {
 	plain := len(outcome) > 0 && outcome[0] == '2'
-	t.deps.Log.Call(event.RunEnded, event.Fields{
+	f := event.Fields{
 		"trace": c.trace, "service": c.service, "priority": c.priority, "target": x.addr, "waited": c.waited.Milliseconds(),
 		"ms": took.Milliseconds(), "outcome": outcome, "left": time.Until(c.deadline).Milliseconds(),
-	}, plain)
+	}
+	if cause != nil {
+		f["cause"] = cause.Error()
+	}
+	t.deps.Log.Call(event.RunEnded, f, plain)
 }
 
 // body is a request's body, nil for none. taken is called at its end.
