--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -11,6 +11,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
@@ -261,14 +262,11 @@
 }
 
 func (n *Node) peerConfig() peer.Config {
-	addr := n.cfg.Peer
-	if n.cfg.Announced != "" {
-		addr = n.cfg.Announced
-	}
+	addr, call := cmp.Or(n.cfg.Announced, n.cfg.Peer), cmp.Or(n.cfg.AnnouncedCall, n.cfg.Call)
 	return peer.Config{
 		Self: peer.Member{
 			Host: n.cfg.Host, Domain: n.cfg.Domain, Region: n.cfg.Region,
-			Peer: addr, Call: n.cfg.Call, Incarnation: uint64(time.Now().UnixMilli()),
+			Peer: addr, Call: call, Incarnation: uint64(time.Now().UnixMilli()),
 		},
 		Contacts:    n.cfg.Contacts,
 		StoreRegion: n.cfg.Platform.Region,
--- a/briarrockd/settings/settings.go
+++ b/briarrockd/settings/settings.go
@@ -37,6 +37,8 @@
 	// Announced is the peer address to tell others instead of Peer, where
 	// they reach it by another one.
 	Announced string
+	// AnnouncedCall is the same for Call.
+	AnnouncedCall string
 
 	Contacts []string
 	// Hosts is about how many hosts the mesh has.
@@ -128,24 +130,25 @@
 	s := &r.s
 	secured := false
 	r.Fields(root, "the settings", map[string]strict.Field{
-		"host":      {Read: func(n *yaml.Node) { s.Host = r.Name(n) }, Need: true},
-		"domain":    {Read: func(n *yaml.Node) { s.Domain = r.Name(n) }, Need: true},
-		"region":    {Read: func(n *yaml.Node) { s.Region = r.Name(n) }, Need: true},
-		"caller":    {Read: func(n *yaml.Node) { s.Caller = r.address(n) }, Need: true},
-		"call":      {Read: func(n *yaml.Node) { s.Call = r.address(n) }, Need: true},
-		"peer":      {Read: func(n *yaml.Node) { s.Peer = r.address(n) }, Need: true},
-		"announced": {Read: func(n *yaml.Node) { s.Announced = r.address(n) }},
-		"operator":  {Read: func(n *yaml.Node) { s.Operator = r.address(n) }, Need: true},
-		"announce":  {Read: func(n *yaml.Node) { s.Announce = r.address(n) }, Need: true},
-		"contacts":  {Read: func(n *yaml.Node) { s.Contacts = r.addresses(n) }},
-		"hosts":     {Read: func(n *yaml.Node) { s.Hosts = r.Number(n, 1, maxHosts) }},
-		"platform":  {Read: r.platform, Need: true},
-		"security":  {Read: func(n *yaml.Node) { secured = true; r.security(n) }, Need: true},
-		"operators": {Read: func(n *yaml.Node) { s.Operators = r.tokens(n) }},
-		"callers":   {Read: func(n *yaml.Node) { s.Callers = r.tokens(n) }},
-		"stall":     {Read: func(n *yaml.Node) { s.Stall = r.Duration(n, minStall, maxStall) }},
-		"drain":     {Read: func(n *yaml.Node) { s.Drain = r.Duration(n, 0, maxDrain) }},
-		"log":       {Read: r.log},
+		"host":          {Read: func(n *yaml.Node) { s.Host = r.Name(n) }, Need: true},
+		"domain":        {Read: func(n *yaml.Node) { s.Domain = r.Name(n) }, Need: true},
+		"region":        {Read: func(n *yaml.Node) { s.Region = r.Name(n) }, Need: true},
+		"caller":        {Read: func(n *yaml.Node) { s.Caller = r.address(n) }, Need: true},
+		"call":          {Read: func(n *yaml.Node) { s.Call = r.address(n) }, Need: true},
+		"peer":          {Read: func(n *yaml.Node) { s.Peer = r.address(n) }, Need: true},
+		"announced":     {Read: func(n *yaml.Node) { s.Announced = r.address(n) }},
+		"announcedcall": {Read: func(n *yaml.Node) { s.AnnouncedCall = r.address(n) }},
+		"operator":      {Read: func(n *yaml.Node) { s.Operator = r.address(n) }, Need: true},
+		"announce":      {Read: func(n *yaml.Node) { s.Announce = r.address(n) }, Need: true},
+		"contacts":      {Read: func(n *yaml.Node) { s.Contacts = r.addresses(n) }},
+		"hosts":         {Read: func(n *yaml.Node) { s.Hosts = r.Number(n, 1, maxHosts) }},
+		"platform":      {Read: r.platform, Need: true},
+		"security":      {Read: func(n *yaml.Node) { secured = true; r.security(n) }, Need: true},
+		"operators":     {Read: func(n *yaml.Node) { s.Operators = r.tokens(n) }},
+		"callers":       {Read: func(n *yaml.Node) { s.Callers = r.tokens(n) }},
+		"stall":         {Read: func(n *yaml.Node) { s.Stall = r.Duration(n, minStall, maxStall) }},
+		"drain":         {Read: func(n *yaml.Node) { s.Drain = r.Duration(n, 0, maxDrain) }},
+		"log":           {Read: r.log},
 	})
 	if secured && s.Security.Plain && len(s.Operators) == 0 && !loopback(s.Operator) {
 		r.Add(root, "with \"security: plain\" the operator address must be on loopback, or operators must have tokens")
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -24,6 +24,9 @@
 	// Silent drops everything on connections that are open now and leaves
 	// them open; new connections work.
 	Silent bool
+	// Deaf drops what comes from the side that opened the connection, on
+	// connections that are open now or opened later: a cut one way.
+	Deaf bool
 	// Cut refuses new connections.
 	Cut bool
 }
@@ -159,7 +162,7 @@
 	}()
 	for x := range way {
 		time.Sleep(time.Until(x.at))
-		if c.silent.Load() {
+		if c.silent.Load() || (from == c.near && p.now().Deaf) {
 			continue
 		}
 		if rate := p.now().Rate; rate > 0 {
