--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -119,6 +119,7 @@
 	}
 	if c.r.ContentLength < 0 || c.r.ContentLength > expectAbove {
 		h.Set("Expect", http1.Continue)
+		h.Set(http1.HeaderHeld, "yes")
 	}
 	if c.caller != "" {
 		h.Set(target.HeaderCaller, c.caller)
--- a/briarrockd/http1/conn.go
+++ b/briarrockd/http1/conn.go
@@ -185,7 +185,8 @@
 	if req.ContentLength != 0 {
 		x.body = &body{
 			x: x, r: req.Body, most: maxBody, ended: make(chan struct{}),
-			expected: strings.EqualFold(req.Header.Get("Expect"), "100-continue"),
+			expected: strings.EqualFold(req.Header.Get("Expect"), Continue),
+			held:     req.Header.Get(HeaderHeld) != "",
 		}
 		req.Body = x.body
 	}
--- a/briarrockd/http1/exchange.go
+++ b/briarrockd/http1/exchange.go
@@ -144,7 +144,7 @@
 // unread tells whether so much of the request's body is left that closing the
 // connection is cheaper than reading it.
 func (x *exchange) unread() bool {
-	return x.body != nil && !x.body.over() && (x.req.ContentLength < 0 || x.req.ContentLength > maxDrain)
+	return x.body != nil && !x.body.over() && !x.body.withheld() && (x.req.ContentLength < 0 || x.req.ContentLength > maxDrain)
 }
 
 // fail notes the first error of the connection and ends it.
@@ -232,6 +232,7 @@
 	most     int64 // bytes that are allowed; 0 for no bound
 	got      int64
 	expected bool // the caller waits for 100 Continue
+	held     bool // and doesn't send the body without it
 	mu       sync.Mutex
 	closed   bool
 	err      error
@@ -292,6 +293,14 @@
 	return errors.Is(b.err, io.EOF)
 }
 
+// withheld tells whether the caller keeps the body back for good, since it was
+// not asked for.
+func (b *body) withheld() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held && b.expected
+}
+
 // Close implements io.Closer. A read that waits for bytes is ended by it.
 func (b *body) Close() error {
 	_ = b.x.c.nc.SetReadDeadline(time.Now())
@@ -301,6 +310,12 @@
 // drain reads what the handler has left, so that the next request can be
 // read; if that is too much, the connection ends.
 func (b *body) drain() {
+	if b.withheld() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.finish(io.EOF)
+		return
+	}
 	if b.x.err == nil && !b.x.stopped {
 		_, _ = io.CopyN(io.Discard, b, maxDrain)
 	}
--- a/briarrockd/http1/expect_test.go
+++ b/briarrockd/http1/expect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -73,3 +74,54 @@
 		s.Close()
 	})
 }
+
+// TestHeld sends uploads to a server that refuses each second one without having
+// asked for its body, over one connection.
+//
+// The connection stays: nothing of a refused body has been sent, and nothing of
+// it may be taken for the next request. A client that has not promised to hold
+// its body back loses the connection, since its bytes may come at any time.
+func TestHeld(t *testing.T) {
+	c := qt.New(t)
+	n := 0
+	s := http1.NewServer(http1.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n++
+		if n%2 == 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		b, err := io.ReadAll(r.Body)
+		c.Check(err, qt.IsNil)
+		_, _ = w.Write(b[:3])
+	})})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	go func() { _ = s.Serve(l) }()
+	c.Cleanup(s.Close)
+	dials := 0
+	p := http1.NewPool(http1.PoolConfig{Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dials++
+		return new(net.Dialer).DialContext(ctx, network, addr)
+	}})
+	c.Cleanup(p.Close)
+	post := func(held bool) string {
+		req, _ := http.NewRequest(http.MethodPost, "http://"+l.Addr().String()+"/", struct{ io.Reader }{strings.NewReader(strings.Repeat("x", 70000))})
+		req.ContentLength = 70000
+		req.Header.Set("Expect", http1.Continue)
+		if held {
+			req.Header.Set(http1.HeaderHeld, "yes")
+		}
+		body, err := do(p, req)
+		c.Assert(err, qt.IsNil)
+		return body
+	}
+	for range 10 {
+		c.Check(post(true), qt.Equals, "xxx")
+		c.Check(post(true), qt.Equals, "")
+	}
+	c.Check(dials, qt.Equals, 1)
+	c.Check(post(false), qt.Equals, "xxx")
+	c.Check(post(false), qt.Equals, "")
+	c.Check(post(true), qt.Equals, "xxx")
+	c.Check(dials, qt.Equals, 2)
+}
--- a/briarrockd/http1/link.go
+++ b/briarrockd/http1/link.go
@@ -44,6 +44,8 @@
 	decided chan struct{}
 	wanted  bool
 	once    sync.Once
+	// kept is set when the body was wanted by nobody and so not sent.
+	kept bool
 	// passed gets whether another request may follow the answer.
 	passed chan bool
 	stop   func() bool
@@ -78,7 +80,34 @@
 // Continue is the value of the header Expect by which a request's body is held
 // back until the other side asks for it. A long body that would be refused then
 // takes no bandwidth, and its request can go elsewhere.
-const Continue = "100-continue"
+//
+// HeaderHeld beside it promises that the body never comes unasked. Other clients
+// send theirs after a while in any case, so a server that has refused one can't
+// tell what comes next on the connection and has to close it; after this promise
+// the connection stays. A refused upload would otherwise cost a new connection
+// at each target that it asks.
+const (
+	Continue   = "100-continue"
+	HeaderHeld = "Briarrock-Held"
+)
+
+// unasked tells whether the body was held back and has not been asked for.
+func (x *trip) unasked() bool {
+	if _, held := x.req.Body.(*expecting); !held {
+		return false
+	}
+	select {
+	case <-x.decided:
+		return !x.wanted
+	default:
+		return false
+	}
+}
+
+// withheld tells whether the body was not asked for, and so nothing of it sent.
+// It may be called once written is closed. (net/http hides errUnwanted in an
+// error of its own.)
+func (x *trip) withheld() bool { return x.kept }
 
 // errUnwanted ends the writing of a request whose body was not asked for.
 var errUnwanted = errors.New("http1: the body was not asked for")
@@ -93,6 +122,7 @@
 func (b *expecting) Read(p []byte) (int, error) {
 	<-b.x.decided
 	if !b.x.wanted {
+		b.x.kept = true
 		return 0, errUnwanted
 	}
 	return b.ReadCloser.Read(p) //nolint:wrapcheck // io.EOF must pass as it is
@@ -177,7 +207,7 @@
 		return l.answered(x, a)
 	case <-x.written:
 	}
-	if x.writeErr != nil {
+	if x.writeErr != nil && !x.withheld() {
 		return l.broken(x, x.writeErr)
 	}
 	return l.answered(x, <-x.answer)
@@ -343,9 +373,12 @@
 // follow.
 func (l *link) pass(x *trip, ok bool) {
 	ok = x.stop() && ok
+	if x.unasked() {
+		<-x.written // it ends at once
+	}
 	select {
 	case <-x.written:
-		ok = ok && x.writeErr == nil
+		ok = ok && (x.writeErr == nil || (x.withheld() && x.req.Header.Get(HeaderHeld) != ""))
 	default:
 		// The request is still being written: its rest must not be taken for
 		// the next one, so the connection ends.
--- a/briarrockd/peer/floor.go
+++ b/briarrockd/peer/floor.go
@@ -93,7 +93,7 @@
 		return
 	}
 	h.do(Use{v.number, v.hash, v.staged})
-	h.log(event.VersionInUse, event.Fields{"version": v.number, "hash": v.hash.Short()})
+	h.log(event.VersionInUse, event.Fields{event.Subject: v.hash.Short(), "version": v.number})
 	v.staged = nil
 }
 
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -282,6 +282,10 @@
 // unrun takes a target's answer that it did not run a request: it has no room,
 // or it is another target than the one that the request was for.
 func (t *Targets) unrun(w http.ResponseWriter, x *target, c call, res *http.Response, ended *Ended) {
+	// Read to its end, the refusal leaves the connection for the next request. A
+	// target that sheds would otherwise cost its node a new one each time, and a
+	// small host's processor is then taken up by them.
+	_, _ = io.CopyN(io.Discard, res.Body, maxRefusal)
 	_ = res.Body.Close()
 	if res.StatusCode == http.StatusMisdirectedRequest {
 		t.drop(x, "another target answers at its address")
@@ -293,6 +297,9 @@
 	t.refuse(w, c, x, Refuse{Kind: kind.Shed, Wait: shedAgain})
 }
 
+// maxRefusal bounds what is read of the body of a refusal, in bytes.
+const maxRefusal = 4 << 10
+
 // shedAgain is when to ask again after a target refused a request by itself:
 // some usual requests have ended by then.
 const shedAgain = 50 * time.Millisecond
