--- a/briarrockd/target/bodies.go
+++ b/briarrockd/target/bodies.go
@@ -12,9 +12,11 @@
 	// eachAtLeast is the share of the link, in bytes a second, that each long
 	// body under way is to get: 60 KB then come in within 150 ms.
 	eachAtLeast = 400 << 10
-	// leastBodies is how many may be under way in any case: with one alone the
-	// link would rest for the way there and back between two.
-	leastBodies = 2
+	// leastBodies is how many may be under way in any case. One alone leaves the
+	// least before the short calls that share the link; that it rests for the way
+	// there and back between two costs less: with two, a service that has both
+	// served 0.50 instead of 0.54 of its short calls' worth at full load.
+	leastBodies = 1
 	// flowOver is the time over which the use of the link is averaged.
 	flowOver = time.Second
 )
--- a/briarrockd/target/bodies_test.go
+++ b/briarrockd/target/bodies_test.go
@@ -110,7 +110,7 @@
 // The pattern is that of many small hosts, with slots to spare: 7 Mbit/s, uploads of 60 KB on the
 // average that work for 370 ms, and calls of other targets with no body. Twenty
 // uploads at once would put two seconds of bytes before everything else that
-// the host receives. Here no more than two are on the way, short calls never
+// the host receives. Here no more than one is on the way, short calls never
 // wait for them, and what the link can't take in time is refused early, while
 // there is time to go elsewhere; the link itself stays in use.
 func TestUploads(t *testing.T) {
@@ -145,7 +145,7 @@
 		took := float64(u.inAim) * mean / (link * seconds)
 		c.Logf("use %.1f: sent %d, in aim %d, late %d, refused %d (held %v), link used well %.2f, most %.0f KB at once, short waited %v",
 			use, sent, u.inAim, u.late, u.refused, u.held, took, u.most/1000, u.short)
-		c.Check(u.most <= 2*400e3, qt.IsTrue)
+		c.Check(u.most <= 400e3, qt.IsTrue)
 		c.Check(u.short <= time.Millisecond, qt.IsTrue)
 		c.Check(u.late*50 <= sent, qt.IsTrue)
 		c.Check(took >= 0.85*min(use, 1), qt.IsTrue, qt.Commentf("%v of the link at %v", took, use))
