A look counts once; another host at an old address is no reason to dial again

A host that was replaced leaves its address to its successor. Whoever still sought the old one got a link to the new one, took it for a success, and dialed again at the next tick: 29 links in three seconds, each replacing the last.

A look at the platform that came back to a node over slow links seemed younger each time, so that a large domain could go on believing that somebody looks. Each look has a name now and is passed on once.

--- a/briarrockd/peer/duty.go
+++ b/briarrockd/peer/duty.go
@@ -38,9 +38,8 @@
 	// peersFirst is the time that a starting node gives its peers to send it the
 	// version in use, before it reads the whole from the platform.
 	peersFirst = 500 * time.Millisecond
-	// freshStep is by how much a look must be newer than the one that was told
-	// last to be told: two watchers together bring no more than three a second.
-	freshStep = 300 * time.Millisecond
+	// maxLookers bounds the hosts whose looks are told apart.
+	maxLookers = 256
 	// fetchEvery is the least time between two versions that are fetched from
 	// peers: in a storm of changes a small node would do nothing else.
 	fetchEvery = 250 * time.Millisecond
@@ -57,8 +56,20 @@
 	// that of this node's own newest.
 	heardAt time.Time
 	ownAt   time.Time
-	// passedAt is the time of the newest look that was told to peers.
-	passedAt time.Time
+	// looks counts this node's own looks.
+	looks uint64
+	// lookers is the newest look of each host that was heard of.
+	lookers map[string]lookName
+}
+
+// lookName tells the looks of one host apart; later ones are greater.
+type lookName struct{ incarnation, look uint64 }
+
+func (a lookName) after(b lookName) bool {
+	if a.incarnation != b.incarnation {
+		return a.incarnation > b.incarnation
+	}
+	return a.look > b.look
 }
 
 // allWatch tells whether each node of this domain watches for itself.
@@ -118,25 +129,47 @@
 func (h *Heart) looked(m Looked) {
 	h.watch.seen = max(h.watch.seen, m.Seen)
 	h.headIs(h.version.number, m.At)
-	h.passFresh(0)
+	h.tellLook(m.At)
 }
 
-// fresh takes a peer's word of a look at the platform.
-func (h *Heart) fresh(l *link, f Fresh) {
-	h.heardFresh(look{version: f.Version, seen: f.Seen, at: h.ago(f.Age)})
-	h.passFresh(l.id)
+// tellLook tells the domain of this node's own look.
+func (h *Heart) tellLook(at time.Time) {
+	if !h.cfg.HeadFed || h.allWatch() {
+		return
+	}
+	d := &h.watch.duty
+	d.looks++
+	h.passFresh(0, Fresh{
+		Version: h.version.number, Seen: h.watch.seen, Age: age(h.now, at),
+		Host: h.self.Host, Incarnation: h.self.Incarnation, Look: d.looks,
+	})
 }
 
-// passFresh tells the domain of a look that is newer than the one told last.
-func (h *Heart) passFresh(from LinkID) {
-	w := &h.watch
-	if !h.cfg.HeadFed || w.freshAt.Sub(w.duty.passedAt) < freshStep || h.allWatch() {
+// fresh takes a peer's word of a look at the platform, and passes it on.
+//
+// Each look counts once. Its age doesn't grow on its way over a link; if a look
+// could come back to a node by another way it would seem younger each time, and
+// over slow links a domain would go on telling itself that somebody looks long
+// after nobody did.
+func (h *Heart) fresh(l *link, f Fresh) {
+	d := &h.watch.duty
+	name := lookName{f.Incarnation, f.Look}
+	last, known := d.lookers[f.Host]
+	if f.Host == h.self.Host || (known && !name.after(last)) {
 		return
 	}
-	w.duty.passedAt = w.freshAt
+	if d.lookers == nil || len(d.lookers) >= maxLookers {
+		d.lookers = make(map[string]lookName)
+	}
+	d.lookers[f.Host] = name
+	h.heardFresh(look{version: f.Version, seen: f.Seen, at: h.ago(f.Age), told: true})
+	h.passFresh(l.id, f)
+}
+
+func (h *Heart) passFresh(from LinkID, f Fresh) {
 	for _, l := range h.sortedLinks() {
 		if l.id != from && l.domain == h.self.Domain {
-			h.send(l, Fresh{h.version.number, w.seen, age(h.now, w.freshAt)})
+			h.send(l, f)
 		}
 	}
 }
--- a/briarrockd/peer/duty_test.go
+++ b/briarrockd/peer/duty_test.go
@@ -41,6 +41,7 @@
 func beats(h *Heart, now time.Time, d time.Duration, f Fresh) (time.Time, []Cmd) {
 	var out []Cmd
 	for end := now.Add(d); now.Before(end); {
+		f.Look++
 		out = append(out, h.Step(now, Received{1, f})...)
 		var cmds []Cmd
 		now, cmds = ticks(h, now, watchShort)
@@ -49,6 +50,11 @@
 	return now, out
 }
 
+// told is word of a look 20 ms ago by a process that is new each time.
+func told(version, seen uint64) Fresh {
+	return Fresh{Version: version, Seen: seen, Age: 20, Host: "watcher", Incarnation: seen}
+}
+
 func watchOf(cmds []Cmd) (Watch, bool) {
 	var last Watch
 	found := false
@@ -71,7 +77,7 @@
 func TestDuty(t *testing.T) {
 	c := qt.New(t)
 	h, now := large(c, 25)
-	now, cmds := beats(h, now, 10*time.Second, Fresh{1, 40, 20})
+	now, cmds := beats(h, now, 10*time.Second, told(1, 40))
 	w, ok := watchOf(cmds)
 	c.Assert(ok, qt.IsTrue)
 	c.Check(w.On, qt.IsFalse)
@@ -89,7 +95,7 @@
 	w, _ = watchOf(cmds)
 	c.Check(w, qt.Equals, Watch{On: true, Seen: 41, Wait: watchShort, Spare: true})
 
-	_, cmds = beats(h, now, lapseKeep+2*time.Second, Fresh{1, 41, 20})
+	_, cmds = beats(h, now, lapseKeep+2*time.Second, told(1, 41))
 	w, ok = watchOf(cmds)
 	c.Assert(ok, qt.IsTrue)
 	c.Check(w.On, qt.IsFalse)
@@ -103,14 +109,14 @@
 func TestDutyBehind(t *testing.T) {
 	c := qt.New(t)
 	h, now := large(c, 25)
-	now, cmds := beats(h, now, 4*time.Second, Fresh{2, 50, 20})
+	now, cmds := beats(h, now, 4*time.Second, told(2, 50))
 	w, _ := watchOf(cmds)
 	c.Check(w.On, qt.IsTrue)
 	c.Check(w.Seen, qt.Equals, uint64(10))
 	next := content(c, 2, 2)
 	h.Step(now, Received{1, Notice{2, next.Hash, true}})
 	now, _ = ticks(h, now, hedgeAfter+2*TickEvery)
-	h.Step(now, Received{1, Fresh{2, 50, 20}})
+	h.Step(now, Received{1, told(2, 50)})
 	h.Step(now, Received{1, next})
 	c.Check(h.watch.seen, qt.Equals, uint64(50))
 }
@@ -123,7 +129,7 @@
 func TestDutyFetch(t *testing.T) {
 	c := qt.New(t)
 	h, now := large(c, 25)
-	now, _ = beats(h, now, 10*time.Second, Fresh{1, 40, 20})
+	now, _ = beats(h, now, 10*time.Second, told(1, 40))
 	next := content(c, 2, 2)
 	c.Check(fetches(h.Step(now, Received{1, Notice{2, next.Hash, true}})), qt.Equals, 1)
 	h.Step(now, Received{1, next})
@@ -161,3 +167,28 @@
 	w, _ = watchOf(cmds)
 	c.Check(w, qt.Equals, Watch{On: true})
 }
+
+// TestDutyEcho gives a node the same look again and again, from another peer and
+// looking as young as the first time.
+//
+// That is how a look comes back over slow links. It counts once: otherwise a
+// domain whose watchers are gone would go on believing for good that somebody
+// looks, and serve an old version with no error anywhere.
+func TestDutyEcho(t *testing.T) {
+	c := qt.New(t)
+	h, now := large(c, 25)
+	f := told(1, 40)
+	f.Look = 7
+	cmds := h.Step(now, Received{1, f})
+	c.Check(count[Send](cmds) > 0, qt.IsTrue)
+	quiet := now
+	on := false
+	for !on {
+		c.Check(count[Send](h.Step(now, Received{2, f})), qt.Equals, 0)
+		var w Watch
+		now, cmds = ticks(h, now, TickEvery)
+		w, _ = watchOf(cmds)
+		on = w.On && w.Spare
+		c.Assert(now.Sub(quiet) <= lapseAfter+lapseSpread+TickEvery, qt.IsTrue)
+	}
+}
--- a/briarrockd/peer/frame.go
+++ b/briarrockd/peer/frame.go
@@ -47,12 +47,16 @@
 	Seen    uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Fresh floods within a domain: how long ago the platform was looked at, and
-// which version was the newest then.
+// Fresh floods within a domain: one look at the platform, how long ago it was,
+// and which version was the newest then. Host, Incarnation and Look name it, so
+// that each node passes it on once.
 type Fresh struct {
-	Version uint64 `cbor:"1,keyasint,omitempty"`
-	Seen    uint64 `cbor:"2,keyasint,omitempty"` // as in Hello
-	Age     uint64 `cbor:"3,keyasint"`           // milliseconds
+	Version     uint64 `cbor:"1,keyasint,omitempty"`
+	Seen        uint64 `cbor:"2,keyasint,omitempty"` // as in Hello
+	Age         uint64 `cbor:"3,keyasint"`           // milliseconds
+	Host        string `cbor:"4,keyasint"`
+	Incarnation uint64 `cbor:"5,keyasint"`
+	Look        uint64 `cbor:"6,keyasint"` // counts the looks of this incarnation
 }
 
 // DomainDigest is the digest of one domain's part of the table.
@@ -258,7 +262,7 @@
 	case codeHave:
 		return decode(b[1:], func(Have) bool { return true })
 	case codeFresh:
-		return decode(b[1:], func(Fresh) bool { return true })
+		return decode(b[1:], func(f Fresh) bool { return f.Host != "" && len(f.Host) <= maxNameSize })
 	case codeKnown:
 		return decode(b[1:], func(Known) bool { return true })
 	default:
--- a/briarrockd/peer/rules_test.go
+++ b/briarrockd/peer/rules_test.go
@@ -396,3 +396,32 @@
 		h.Step(now.Add(time.Second), Tick{})
 	})
 }
+
+// TestOtherHost has another host answer at the address of one that was replaced.
+//
+// The old one's record lives on for some seconds. Each link to its address comes
+// up as one to the new host; if that counted as a success the address would be
+// dialed at each tick, and each new link would replace the last one: nodes would
+// do nothing else, and serve an old configuration meanwhile.
+func TestOtherHost(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	h := New(Config{Self: member("a")}, rand.New(rand.NewPCG(1, 1)), now)
+	old, fresh := member("old"), member("new")
+	fresh.Peer = old.Peer
+	h.Step(now, LinkUp{Link: 1, Hello: Hello{Member: member("b")}, Addr: "b:1"})
+	h.Step(now, Received{1, Records{[]Member{old, fresh}}})
+	dials, id := 0, LinkID(1)
+	for range 30 {
+		now = now.Add(TickEvery)
+		for _, cmd := range h.Step(now, Tick{}) {
+			if d, ok := cmd.(Dial); ok && d.Addr == old.Peer {
+				dials++
+				id++
+				h.Step(now, LinkUp{Link: id, Hello: Hello{Member: fresh}, Addr: old.Peer})
+			}
+		}
+	}
+	c.Check(dials <= 2, qt.IsTrue, qt.Commentf("%d dials in three seconds", dials))
+	c.Check(h.byHost["new"], qt.Not(qt.IsNil))
+}
--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -324,8 +324,9 @@
 
 func (h *Heart) linkUp(m LinkUp) {
 	hi := m.Hello
-	if m.Addr != "" {
-		h.dials[m.Addr] = &dialing{host: hi.Member.Host}
+	if m.Addr != "" && h.otherHost(m) {
+		h.do(Close{m.Link})
+		return
 	}
 	if hi.Member.Host == h.self.Host || len(h.links) >= maxLinks {
 		h.do(Close{m.Link})
@@ -348,6 +349,28 @@
 	h.greeted(l, hi)
 }
 
+// otherHost notes who has answered at an address. It tells whether that is
+// another host than the one that was sought, with which there is a link already.
+//
+// Addresses are used again. The record of the host that had one before lives on
+// for some seconds, and each link to it comes up as one to its successor. Taken
+// for a success it would be sought at once again, at each tick, and each of the
+// links would replace the last one, with all that a new link costs. That another
+// host answers also says that the old one's process is gone.
+func (h *Heart) otherHost(m LinkUp) bool {
+	answers := m.Hello.Member.Host
+	d := h.dials[m.Addr]
+	h.dials[m.Addr] = &dialing{host: answers}
+	if d == nil || d.host == "" || d.host == answers {
+		return false
+	}
+	h.dials[m.Addr].nextAt = h.now.Add(dialMost)
+	if r := h.table.byHost[d.host]; r != nil && r.State == Alive && r.Domain == h.self.Domain {
+		h.suspect(r)
+	}
+	return h.byHost[answers] != nil
+}
+
 // greeted takes in what the peer's hello says.
 func (h *Heart) greeted(l *link, hi Hello) {
 	h.reincarnate(hi.Known)
--- a/briarrockd/peer/version.go
+++ b/briarrockd/peer/version.go
@@ -334,7 +334,9 @@
 	}
 	h.watch.seen = max(h.watch.seen, m.Seen)
 	h.headIs(m.Version, at)
-	h.passFresh(0)
+	if m.Seen > 0 {
+		h.tellLook(at)
+	}
 }
 
 // arrived verifies a version and, if it is whole and newer, puts it into use.
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -61,6 +61,9 @@
 	seen    uint64 // position in the platform's record of changes
 	at      time.Time
 	own     bool
+	// told is set for a look that was told of by itself (Fresh), and not as a
+	// part of what a peer knows.
+	told bool
 }
 
 // ago is the time that a peer says was so many milliseconds ago; zero for 0,
@@ -103,7 +106,9 @@
 		w.duty.ownAt = later(w.duty.ownAt, k.at)
 		return
 	}
-	w.duty.heardAt = later(w.duty.heardAt, k.at)
+	if k.told {
+		w.duty.heardAt = later(w.duty.heardAt, k.at)
+	}
 }
 
 func later(a, b time.Time) time.Time {
@@ -212,7 +217,6 @@
 	}
 	h.watch.ahead = look{}
 	h.counts(k)
-	h.passFresh(0)
 }
 
 func (h *Heart) headFailed(err error) {
