--- a/briarrock/local/call_test.go
+++ b/briarrock/local/call_test.go
@@ -248,6 +248,8 @@
 	c := qt.New(t)
 	m := start(c, targetin.Config{Slots: 2, Conns: 20, Work: 5 * time.Millisecond})
 	var good, refused, other atomic.Int64
+	var last atomic.Value // what the last other answer was
+	last.Store("")
 	var wg sync.WaitGroup
 	for i := range 64 {
 		wg.Go(func() {
@@ -260,6 +262,7 @@
 					refused.Add(1)
 				default:
 					other.Add(1)
+					last.Store(fmt.Sprintf("%+v", a))
 				}
 			}
 		})
@@ -270,7 +273,7 @@
 		c.Check(n.Target.Peak() <= 2, qt.IsTrue, qt.Commentf("%d at once", n.Target.Peak()))
 		ran += n.Target.Ran()
 	}
-	c.Check(other.Load(), qt.Equals, int64(0))
+	c.Check(other.Load(), qt.Equals, int64(0), qt.Commentf("%s", last.Load()))
 	c.Check(ran, qt.Equals, good.Load())
 }
 
