--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -382,7 +382,7 @@
 	for _, s := range n.servers {
 		s.Drain()
 	}
-	pause(ctx, max(lame, n.platform.Lame))
+	platform.Pause(ctx, max(lame, n.platform.Lame))
 	n.proxy.Leave()
 	var wg sync.WaitGroup
 	for _, s := range n.servers {
@@ -406,7 +406,7 @@
 	next := time.Now().Add(sweepEvery)
 	for n.ctx.Err() == nil {
 		n.shareClaims()
-		pause(n.ctx, shareEvery)
+		platform.Pause(n.ctx, shareEvery)
 		if time.Now().Before(next) {
 			continue
 		}
@@ -441,15 +441,6 @@
 	n.wg.Wait()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (n *Node) identify(cs *tls.ConnectionState, token string) (string, error) {
 	if name, ok := n.cfg.Operators.Name(token); ok {
 		return name, nil
--- a/mesh/platform/edit.go
+++ b/mesh/platform/edit.go
@@ -40,7 +40,7 @@
 		switch a := next.(type) {
 		case ReadWrite:
 			if a.Wait {
-				pause(ctx, rereadAfter)
+				Pause(ctx, rereadAfter)
 			}
 			next = c.WriteRead(st.Get(ctx, WriteKey(a.ID)))
 		case ReadHead:
@@ -71,7 +71,8 @@
 	return first
 }
 
-func pause(ctx context.Context, d time.Duration) {
+// Pause waits for d, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
