Calls from another region get only the room that its own region has no use for

Nobody more was served; answers came 40 ms later, slots were held longer while calls of the runs crossed too, and the link was paid.

Change: the entry says that a call comes from afar; the target's gate lets it in only into slots beyond an eighth that it keeps free, and not within half a second of refusing a call of its own region of at least that priority. A far refusal is remembered for half a second, a near one for 20 ms as before. What is known to be full is now known up to a priority: a refused read no longer keeps a more urgent order away.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -49,7 +49,7 @@
 	body, length := c.payload()
 	res, out := relay.Send(ctx, relay.Call{
 		In: c.r, URL: relay.Toward(&url.URL{Scheme: p.deps.Scheme, Host: u.addr}, c.r), Host: c.r.Host,
-		Add: c.towardsNode(), Body: body, Length: length, Transport: p.deps.Transport, Stall: p.deps.Stall,
+		Add: c.towardsNode(u), Body: body, Length: length, Transport: p.deps.Transport, Stall: p.deps.Stall,
 		Deadline: c.deadline.Add(deadlineSlack), Streamed: c.streamed,
 		Once: c.route.Mode == snapshot.Once,
 	})
@@ -63,7 +63,7 @@
 			a.ran = kind.RanNo
 		}
 	}
-	p.deps.Chooser.done(time.Now(), c.service.Name, u.host, a.feedback(out))
+	p.deps.Chooser.done(time.Now(), c.service.Name, u.host, a.feedback(c, out))
 	return a
 }
 
@@ -83,8 +83,8 @@
 }
 
 // feedback is what the attempt tells about the upstream.
-func (a *attempt) feedback(out relay.Outcome) Feedback {
-	f := Feedback{Load: -1}
+func (a *attempt) feedback(c *call, out relay.Outcome) Feedback {
+	f := Feedback{Load: -1, Priority: c.route.Priority}
 	if a.res == nil {
 		f.Failed = out.Kind != kind.Cancel
 		f.Unreached = out.Kind == kind.Refused
@@ -104,7 +104,7 @@
 	return f
 }
 
-func (c *call) towardsNode() http.Header {
+func (c *call) towardsNode(u upstream) http.Header {
 	h := make(http.Header, 6)
 	h.Set(target.HeaderService, c.service.Name)
 	h.Set(target.HeaderDeadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 0), 10))
@@ -114,6 +114,9 @@
 	if c.route.Mode == snapshot.Once {
 		h.Set(target.HeaderOnce, "yes")
 	}
+	if u.far {
+		h.Set(target.HeaderFar, "yes")
+	}
 	if !c.aim.IsZero() {
 		h.Set(target.HeaderAim, strconv.FormatInt(time.Until(c.aim).Milliseconds(), 10))
 	}
--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"briarrock.example/mesh/snapshot"
 )
 
 // How an upstream is chosen. Costs are in units of a usual request's time.
@@ -62,6 +64,9 @@
 	// every slot that comes free; and a caller is refused at once, with most of
 	// its time left, instead of after asking one full target after the other.
 	fullFor = 20 * time.Millisecond
+	// farFullFor is the same for one in another region. There it is not a slot
+	// that is missing for a moment: the region has no room to spare.
+	farFullFor = 500 * time.Millisecond
 	// leavingFor is how long an upstream that leaves is left alone.
 	leavingFor = 3 * time.Second
 	// maxStates bounds the table of upstreams that are remembered.
@@ -83,8 +88,9 @@
 	Poor bool
 	// Leaving is set when the target's node said that the target leaves.
 	Leaving bool
-	// Full is set when the target's node had no room.
-	Full bool
+	// Full is set when the target's node had no room for a call of Priority.
+	Full     bool
+	Priority snapshot.Priority
 }
 
 // state is what is remembered of one upstream.
@@ -105,8 +111,12 @@
 	// leaving is until when the upstream is left alone since it said that it
 	// leaves; by then the members' records say so too.
 	leaving time.Time
-	// full is until when the upstream is known to have no room.
-	full time.Time
+	// fullAt is when the upstream last had no room, for calls up to the
+	// priority fullTo.
+	fullAt time.Time
+	fullTo snapshot.Priority
+	// far is set for an upstream in another region.
+	far bool
 }
 
 // Chooser picks upstreams: the cheapest of two at random from each of the own
@@ -134,10 +144,10 @@
 
 // pick chooses an upstream that is not in tried and counts it as in flight.
 // It returns false when the set has none that may be used.
-func (c *Chooser) pick(now time.Time, service string, set []upstream, tried []string) (upstream, bool) {
+func (c *Chooser) pick(now time.Time, service string, set []upstream, tried []string, priority snapshot.Priority) (upstream, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	best, found := c.best(now, service, set, tried)
+	best, found := c.best(now, service, set, tried, priority)
 	if !found {
 		return upstream{}, false
 	}
@@ -147,6 +157,8 @@
 	}
 	s.inflight++
 	s.since++
+	best.far = c.tier(&best) == tierCount-1
+	s.far = best.far
 	return best, true
 }
 
@@ -164,8 +176,8 @@
 	}
 }
 
-func (c *Chooser) best(now time.Time, service string, set []upstream, tried []string) (upstream, bool) {
-	usable := c.usable(now, service, set, tried)
+func (c *Chooser) best(now time.Time, service string, set []upstream, tried []string, priority snapshot.Priority) (upstream, bool) {
+	usable := c.usable(now, service, set, tried, priority)
 	unit := c.unit(service, set, usable)
 	var tiers [tierCount][]int
 	for _, i := range usable {
@@ -219,14 +231,14 @@
 // usable lists those that were not tried and are not ejected. If ejection
 // would leave less than its share of the set, it is not heeded: misleading
 // failures must not empty a set.
-func (c *Chooser) usable(now time.Time, service string, set []upstream, tried []string) []int {
+func (c *Chooser) usable(now time.Time, service string, set []upstream, tried []string, priority snapshot.Priority) []int {
 	var sound, rest []int
 	for i := range set {
 		if slices.Contains(tried, set[i].host) {
 			continue
 		}
 		s := c.states[key(service, set[i].host)]
-		if s != nil && (s.leaving.After(now) || s.full.After(now)) {
+		if s != nil && (s.leaving.After(now) || s.fullNow(now, priority)) {
 			continue
 		}
 		rest = append(rest, i)
@@ -322,7 +334,7 @@
 		s.leaving = now.Add(leavingFor)
 	}
 	if f.Full {
-		s.full = now.Add(fullFor)
+		s.noRoom(now, f.Priority)
 	}
 	if f.Unreached {
 		s.until = later(s.until, now.Add(unreachedFor))
@@ -340,6 +352,23 @@
 	s.ejected++
 }
 
+// noRoom notes that there was no room for a call.
+func (s *state) noRoom(now time.Time, priority snapshot.Priority) {
+	if s.fullNow(now, s.fullTo) {
+		priority = max(priority, s.fullTo)
+	}
+	s.fullAt, s.fullTo = now, priority
+}
+
+// fullNow tells whether there is known to be no room for a call.
+func (s *state) fullNow(now time.Time, priority snapshot.Priority) bool {
+	last := fullFor
+	if s.far {
+		last = farFullFor
+	}
+	return priority <= s.fullTo && now.Sub(s.fullAt) < last
+}
+
 // told takes the figures of an attempt.
 func (s *state) told(now time.Time, f Feedback) {
 	if f.Load >= 0 {
@@ -374,13 +403,23 @@
 	return b
 }
 
-// anyFull tells whether an upstream of a set had no room within the last time.
-func (c *Chooser) anyFull(now time.Time, service string, set []upstream, last time.Duration) bool {
+// anyFull tells whether an upstream of a set is known to have no room for a
+// call.
+func (c *Chooser) anyFull(now time.Time, service string, set []upstream, priority snapshot.Priority) bool {
+	return c.any(service, set, func(s *state) bool { return s.fullNow(now, priority) })
+}
+
+// pressed tells whether an upstream of a set had no room within the last time.
+func (c *Chooser) pressed(now time.Time, service string, set []upstream, last time.Duration) bool {
+	return c.any(service, set, func(s *state) bool { return now.Sub(s.fullAt) < last })
+}
+
+func (c *Chooser) any(service string, set []upstream, is func(*state) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return slices.ContainsFunc(set, func(u upstream) bool {
 		s := c.states[key(service, u.host)]
-		return s != nil && s.full.Add(last-fullFor).After(now)
+		return s != nil && is(s)
 	})
 }
 
--- /dev/null
+++ b/briarrockd/caller/pressed_test.go
@@ -0,0 +1,84 @@
+package caller
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"briarrock.example/mesh/snapshot"
+)
+
+// TestBothRegionsPressed has no room in either region.
+//
+// A caller is refused at once. Asking the other region's targets for each call
+// would cost it two ways between the regions, and take room from that region's
+// own callers, who then would come here: nobody more would be served. So a far
+// refusal is remembered for long, and a near one for a moment.
+func TestBothRegionsPressed(t *testing.T) {
+	c := qt.New(t)
+	set := table(members()).sets["orderdesk"]
+	ch := NewChooser("northgate", "north-line", 1)
+	now := time.Unix(100, 0)
+	asked := 0
+	ask := func() {
+		for {
+			u, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
+			if !ok {
+				return
+			}
+			asked++
+			ch.done(now, "orderdesk", u.host, Feedback{Load: 1, Full: true, Priority: snapshot.Normal})
+		}
+	}
+	ask()
+	c.Check(asked, qt.Equals, len(set))
+	c.Check(ch.anyFull(now, "orderdesk", set, snapshot.Normal), qt.IsTrue)
+	now = now.Add(fullFor)
+	asked = 0
+	ask()
+	c.Check(asked, qt.Equals, 8, qt.Commentf("only the own region's"))
+	now = now.Add(farFullFor)
+	asked = 0
+	ask()
+	c.Check(asked, qt.Equals, len(set))
+}
+
+// TestRegionLost takes all of a region's targets away: its calls go to the other
+// region at once, and back as soon as one of the own targets is there again.
+func TestRegionLost(t *testing.T) {
+	c := qt.New(t)
+	set := table(members()).sets["orderdesk"]
+	ch := NewChooser("riverside", "south-line", 1)
+	now := time.Unix(100, 0)
+	var north, south []upstream
+	for _, u := range set {
+		if u.region == "north-line" {
+			north = append(north, u)
+		} else {
+			south = append(south, u)
+		}
+	}
+	c.Check(count(ch, north, 10, now, Feedback{})["none"], qt.Equals, 0)
+	c.Check(count(ch, append(north, south[0]), 10, now, Feedback{}), qt.DeepEquals, map[string]int{"riverside": 10})
+}
+
+// TestFullByPriority refuses a call of low priority: more urgent ones, for which
+// a gate makes room, still ask there.
+func TestFullByPriority(t *testing.T) {
+	c := qt.New(t)
+	set := table(members()).sets["orderdesk"][:1]
+	ch := NewChooser("northgate", "north-line", 1)
+	now := time.Unix(100, 0)
+	ch.done(now, "orderdesk", set[0].host, Feedback{Load: 1, Full: true, Priority: snapshot.Bulk})
+	_, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Bulk)
+	c.Check(ok, qt.IsFalse)
+	_, ok = ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
+	c.Check(ok, qt.IsTrue)
+	// The more urgent one is refused too, and after that a lesser one: the
+	// first's word holds on.
+	ch.done(now, "orderdesk", set[0].host, Feedback{Load: 1, Full: true, Priority: snapshot.Normal})
+	ch.done(now, "orderdesk", set[0].host, Feedback{Load: 1, Full: true, Priority: snapshot.Bulk})
+	_, ok = ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
+	c.Check(ok, qt.IsFalse)
+}
--- a/briarrockd/caller/retry.go
+++ b/briarrockd/caller/retry.go
@@ -107,7 +107,7 @@
 
 // nowhere is the end of a call that has no upstream to go to.
 func (p *Proxy) nowhere(c *call) attempt {
-	if p.deps.Chooser.anyFull(time.Now(), c.service.Name, c.set, fullFor) {
+	if p.deps.Chooser.anyFull(time.Now(), c.service.Name, c.set, c.route.Priority) {
 		return attempt{kind: kind.Full, ran: kind.RanNo, after: fullAgain + rand.N(fullAgain)}
 	}
 	return attempt{kind: kind.Empty, ran: kind.RanNo, after: emptyAfter}
@@ -115,7 +115,7 @@
 
 // start begins an attempt at another upstream; false if there is none left.
 func (x *race) start(what string) bool {
-	u, ok := x.p.deps.Chooser.pick(time.Now(), x.c.service.Name, x.c.set, x.tried)
+	u, ok := x.p.deps.Chooser.pick(time.Now(), x.c.service.Name, x.c.set, x.tried, x.c.route.Priority)
 	if !ok {
 		return false
 	}
@@ -272,7 +272,7 @@
 // hedge asks a second target, unless the service is pressed: the attempt would
 // take a slot from a call that has none.
 func (x *race) hedge() {
-	if x.p.deps.Chooser.anyFull(time.Now(), x.c.service.Name, x.c.set, pressedFor) {
+	if x.p.deps.Chooser.pressed(time.Now(), x.c.service.Name, x.c.set, pressedFor) {
 		return
 	}
 	if x.hedged || x.under == 0 || !x.mayRun() || !x.p.deps.Budget.hedge(x.c.service.Name) {
--- a/briarrockd/caller/table.go
+++ b/briarrockd/caller/table.go
@@ -49,6 +49,8 @@
 	region string
 	slots  int
 	cold   bool
+	// far is set by the chooser on an upstream in another region.
+	far bool
 }
 
 // entry is one entry of a version with the services that it leads to.
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -21,6 +21,8 @@
 	Deadline time.Time
 	// Aim is when the answer loses most of its worth; zero if nobody says.
 	Aim time.Time
+	// Far is set for a call from another region.
+	Far bool
 	// Body is the length of the request's body in bytes, -1 if not known.
 	Body int64
 }
@@ -100,6 +102,7 @@
 	draining bool
 	limit    limiter
 	bodies   bodies
+	pressure pressure
 
 	running map[CallID]time.Time
 	queue   []waiting
@@ -211,6 +214,14 @@
 	g.cmds = append(g.cmds, r)
 }
 
+// turnAway refuses a call for want of room.
+func (g *Gate) turnAway(a *Arrive, k kind.Kind) {
+	if !a.Far {
+		g.pressure.refused(g.now, a.Priority)
+	}
+	g.refuse(a.ID, k)
+}
+
 // Usual is how long a call takes as a rule; 0 before any has ended.
 func (g *Gate) Usual() time.Duration { return g.limit.mean }
 
@@ -227,6 +238,9 @@
 	case !m.Deadline.After(g.now):
 		g.refuse(m.ID, kind.Deadline)
 		return
+	case m.Far && !g.welcomes(&m):
+		g.turnAway(&m, kind.Full)
+		return
 	case g.fits(&m):
 		// What is queued then waits for the link, and not for a slot.
 		g.decided(false)
@@ -236,15 +250,15 @@
 	ok := g.inTime(m)
 	g.decided(!ok)
 	if !ok {
-		g.refuse(m.ID, kind.Full)
+		g.turnAway(&m, kind.Full)
 		return
 	}
 	if g.overShare(m.Caller) {
-		g.refuse(m.ID, kind.Limit)
+		g.turnAway(&m, kind.Limit)
 		return
 	}
 	if len(g.queue) >= g.queueMax && !g.evict(m.Priority) {
-		g.refuse(m.ID, kind.Full)
+		g.turnAway(&m, kind.Full)
 		return
 	}
 	g.queue = append(g.queue, waiting{m, g.now})
@@ -373,7 +387,7 @@
 	if worst < 0 {
 		return false
 	}
-	g.refuse(g.queue[worst].ID, kind.Full)
+	g.turnAway(&g.queue[worst].Arrive, kind.Full)
 	g.queue = append(g.queue[:worst], g.queue[worst+1:]...)
 	return true
 }
@@ -421,7 +435,7 @@
 		case !w.Deadline.After(g.now):
 			g.refuse(w.ID, kind.Deadline)
 		case w.Aim.After(w.at) && !w.Aim.After(g.now):
-			g.refuse(w.ID, kind.Full)
+			g.turnAway(&w.Arrive, kind.Full)
 		default:
 			kept = append(kept, w)
 		}
@@ -439,7 +453,7 @@
 		w := g.queue[i]
 		g.queue = append(g.queue[:i], g.queue[i+1:]...)
 		if !g.startable(w) {
-			g.refuse(w.ID, kind.Full)
+			g.turnAway(&w.Arrive, kind.Full)
 			continue
 		}
 		g.running[w.ID] = g.now
--- a/briarrockd/target/gate_test.go
+++ b/briarrockd/target/gate_test.go
@@ -65,6 +65,7 @@
 		if d.HasArg("urgent") {
 			a.Priority = snapshot.Urgent
 		}
+		a.Far = d.HasArg("far")
 		if d.HasArg("bulk") {
 			a.Priority = snapshot.Bulk
 		}
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -24,6 +24,7 @@
 	HeaderPriority = "Briarrock-Priority"
 	HeaderPrint    = "Briarrock-Print" // fingerprint of the request
 	HeaderOnce     = "Briarrock-Once"  // set if it may run only once
+	HeaderFar      = "Briarrock-Far"   // set if the call comes from another region
 	// HeaderLoad tells the entry how taken the target is, and HeaderUsual how
 	// many milliseconds its work takes as a rule.
 	HeaderLoad  = "Briarrock-Load"
@@ -120,6 +121,7 @@
 	mark     uint64    // fingerprint of the request
 	trace    string
 	once     bool
+	far      bool
 	// waited is how long the gate held the call back.
 	waited time.Duration
 }
@@ -144,6 +146,7 @@
 		mark:     mark,
 		trace:    r.Header.Get(HeaderTrace),
 		once:     r.Header.Get(HeaderOnce) != "",
+		far:      r.Header.Get(HeaderFar) != "",
 	}, true
 }
 
@@ -165,7 +168,7 @@
 		return
 	}
 	relay.Duplex(w, r)
-	arrive := Arrive{Caller: c.caller, Priority: c.priority, Deadline: c.deadline, Aim: c.aim, Body: r.ContentLength}
+	arrive := Arrive{Caller: c.caller, Priority: c.priority, Deadline: c.deadline, Aim: c.aim, Far: c.far, Body: r.ContentLength}
 	if t.deps.NoTurns {
 		arrive.Caller = ""
 	}
