Work is known by route, and urgent calls are judged by what is urgent

The gate judged a lookup of 12 ms by the mean of lookups, charges and reports of 180 ms, so that twice that mean never fitted into its 60 ms; it counted refusals of reports against lookups; and reports could take all slots. The limiter took the mix of short and long for a target that had become slow and gave away a quarter of its slots. "Full" was remembered for 20 ms where a slot comes free every 5 ms: most refusals were given without asking, with a fifth of the slots idle.

Change: a bounded table of durations by route; the share of refusals is counted by priority and doesn't bind a priority while less urgent calls are still started; long calls leave as many slots as more urgent ones that can't wait were seen to need; slowness is measured against the same route's duration at low load; full is remembered for about the time of one slot.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/url"
@@ -104,11 +105,16 @@
 	return f
 }
 
+// routeName names the route among those of its service: calls of one route take
+// about the same time.
+func (c *call) routeName() string { return cmp.Or(c.entry, c.route.Name()) }
+
 func (c *call) towardsNode(u upstream) http.Header {
 	h := make(http.Header, 6)
 	h.Set(target.HeaderService, c.service.Name)
 	h.Set(target.HeaderDeadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 0), 10))
 	h.Set(target.HeaderPriority, strconv.Itoa(int(c.route.Priority)))
+	h.Set(target.HeaderRoute, c.routeName())
 	h.Set(target.HeaderPrint, strconv.FormatUint(c.print, 16))
 	h.Set(target.HeaderTrace, c.trace)
 	if c.route.Mode == snapshot.Once {
--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -59,11 +59,12 @@
 	// keepShare is the part of a set that ejection must leave, as 1/keepShare:
 	// when more fails than that, the fault is likely not the targets'.
 	keepShare = 2
-	// fullFor is how long an upstream that had no room is not asked again. Many
-	// nodes ask each target, so one question in this time from each still finds
-	// every slot that comes free; and a caller is refused at once, with most of
-	// its time left, instead of after asking one full target after the other.
-	fullFor = 20 * time.Millisecond
+	// An upstream that had no room is not asked again for about as long as it
+	// takes until one of its slots comes free, within these bounds: a caller is
+	// refused at once, with most of its time left, instead of after asking one
+	// full target after the other.
+	fullLeast = 2 * time.Millisecond
+	fullMost  = 20 * time.Millisecond
 	// farFullFor is the same for one in another region. There it is not a slot
 	// that is missing for a moment: the region has no room to spare.
 	farFullFor = 500 * time.Millisecond
@@ -115,8 +116,9 @@
 	// priority fullTo.
 	fullAt time.Time
 	fullTo snapshot.Priority
-	// far is set for an upstream in another region.
-	far bool
+	// far is set for an upstream in another region, slots are those that it has.
+	far   bool
+	slots int
 }
 
 // Chooser picks upstreams: the cheapest of two at random from each of the own
@@ -158,7 +160,7 @@
 	s.inflight++
 	s.since++
 	best.far = c.tier(&best) == tierCount-1
-	s.far = best.far
+	s.far, s.slots = best.far, best.slots
 	return best, true
 }
 
@@ -362,11 +364,18 @@
 
 // fullNow tells whether there is known to be no room for a call.
 func (s *state) fullNow(now time.Time, priority snapshot.Priority) bool {
-	last := fullFor
+	return priority <= s.fullTo && now.Sub(s.fullAt) < s.fullFor()
+}
+
+// fullFor is how long the upstream is left alone after it had no room.
+func (s *state) fullFor() time.Duration {
 	if s.far {
-		last = farFullFor
+		return farFullFor
+	}
+	if s.usual == 0 {
+		return fullMost
 	}
-	return priority <= s.fullTo && now.Sub(s.fullAt) < last
+	return min(max(s.usual/time.Duration(max(s.slots, 1)), fullLeast), fullMost)
 }
 
 // told takes the figures of an attempt.
--- a/briarrockd/caller/pressed_test.go
+++ b/briarrockd/caller/pressed_test.go
@@ -34,7 +34,7 @@
 	ask()
 	c.Check(asked, qt.Equals, len(set))
 	c.Check(ch.anyFull(now, "orderdesk", set, snapshot.Normal), qt.IsTrue)
-	now = now.Add(fullFor)
+	now = now.Add(fullMost)
 	asked = 0
 	ask()
 	c.Check(asked, qt.Equals, 8, qt.Commentf("only the own region's"))
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -18,6 +18,9 @@
 	ID       CallID
 	Caller   string
 	Priority snapshot.Priority
+	// Route names the route that the call came by, empty if nobody says: calls
+	// of one route take about the same time.
+	Route    string
 	Deadline time.Time
 	// Aim is when the answer loses most of its worth; zero if nobody says.
 	Aim time.Time
@@ -36,6 +39,8 @@
 // Ended is a call that was started and is now at its end.
 type Ended struct {
 	ID CallID
+	// Route is that of the call.
+	Route string
 	// Took is the time that the target took.
 	Took time.Duration
 	// Shed is set when the target refused it for load.
@@ -103,8 +108,9 @@
 	limit    limiter
 	bodies   bodies
 	pressure pressure
+	reserve  reserve
 
-	running map[CallID]time.Time
+	running map[CallID]snapshot.Priority
 	queue   []waiting
 	// turn counts the calls that each queued caller has had started, so that
 	// callers with many calls wait for those with few.
@@ -113,8 +119,6 @@
 	now  time.Time
 	// shedAt is when the target last refused work.
 	shedAt time.Time
-	// refused is the share of the last calls that found no room.
-	refused float64
 }
 
 // waiting is a queued call.
@@ -136,7 +140,7 @@
 
 // NewGate returns a gate with the given limits.
 func NewGate(l Limits) *Gate {
-	g := &Gate{running: make(map[CallID]time.Time), turn: make(map[string]int)}
+	g := &Gate{running: make(map[CallID]snapshot.Priority), turn: make(map[string]int)}
 	g.limits(l)
 	return g
 }
@@ -208,7 +212,7 @@
 func (g *Gate) refuse(id CallID, k kind.Kind) {
 	r := Refuse{ID: id, Kind: k}
 	if k == kind.Full || k == kind.Limit {
-		r.Wait = max(g.wait(0), leastWait)
+		r.Wait = max(g.wait(0, snapshot.MostUrgent), leastWait)
 		r.After = max(1, int(r.Wait.Round(time.Second)/time.Second))
 	}
 	g.cmds = append(g.cmds, r)
@@ -223,14 +227,20 @@
 }
 
 // Usual is how long a call takes as a rule; 0 before any has ended.
-func (g *Gate) Usual() time.Duration { return g.limit.mean }
+func (g *Gate) Usual() time.Duration { return g.limit.work.all }
 
-// wait is how long a call behind n others is expected to be queued.
-func (g *Gate) wait(n int) time.Duration {
-	return g.limit.usual() * time.Duration(n+1) / time.Duration(g.allowed())
+// wait is how long a call behind n others is expected to be queued. The more
+// urgent calls that are still to come go before it too.
+func (g *Gate) wait(n int, priority snapshot.Priority) time.Duration {
+	left := max(1, float64(g.allowed())-g.reserve.taken(priority))
+	return time.Duration(float64(g.limit.work.usual()) * float64(n+1) / left)
 }
 
 func (g *Gate) arrive(m Arrive) {
+	m.Priority = min(m.Priority, snapshot.MostUrgent)
+	if !m.Aim.IsZero() {
+		g.reserve.arrived(m.Priority, m.Aim.Sub(g.now)-time.Duration(workSpread*float64(g.limit.work.of(m.Route))))
+	}
 	switch {
 	case g.draining:
 		g.refuse(m.ID, kind.Drain)
@@ -243,12 +253,12 @@
 		return
 	case g.fits(&m):
 		// What is queued then waits for the link, and not for a slot.
-		g.decided(false)
+		g.pressure.decided(m.Priority, false)
 		g.queue = append(g.queue, waiting{m, g.now})
 		return
 	}
 	ok := g.inTime(m)
-	g.decided(!ok)
+	g.pressure.decided(m.Priority, !ok)
 	if !ok {
 		g.turnAway(&m, kind.Full)
 		return
@@ -273,15 +283,6 @@
 	// leastQueue is how many may wait in any case: with none, a slot that comes
 	// free stays so until the next call happens to arrive.
 	leastQueue = 1
-	// refusedPart is the weight of the newest call in the share that is refused,
-	// so that the share tells of the last twenty calls.
-	refusedPart = 0.05
-	// refusedMost is the share of refused calls from which on nothing queues
-	// beyond leastQueue. There is then always another call for a free slot, and
-	// a queue would only make all that are run later: on a day with half of a
-	// service's targets gone, queues as long as the aims allowed had a
-	// quarter fewer calls answered within their aim.
-	refusedMost = 0.15
 	// leastWork is the part of the usual time below which a queued call is not
 	// worth starting: it would take a slot and be broken off.
 	leastWork = 0.5
@@ -289,11 +290,6 @@
 
 // inTime tells whether a call is expected to end in time: within its aim, if it
 // has one that is not past already.
-//
-// A queue bridges the moments in which calls come faster than slots come free.
-// Where they do so all the time it is never empty, and every call waits in it
-// for nothing: as many are done as without. So the more calls are refused, the
-// less of its time a call may spend waiting, and the rest is told at once.
 func (g *Gate) inTime(m Arrive) bool {
 	ahead, wait := g.expected(m)
 	switch {
@@ -304,12 +300,12 @@
 		// that nobody else wants.
 		return false
 	}
-	work := time.Duration(workSpread * float64(g.limit.usual()))
+	work := g.limit.work.of(m.Route)
 	if ahead < leastQueue {
-		return !g.now.Add(wait + g.limit.usual()).After(m.Deadline)
+		return !g.now.Add(wait + work).After(m.Deadline)
 	}
-	spare := time.Duration((1 - g.refused/refusedMost) * float64(m.Aim.Sub(g.now)-work))
-	return wait <= spare
+	spare := m.Aim.Sub(g.now) - time.Duration(workSpread*float64(work))
+	return wait <= time.Duration(g.pressure.patience(g.now, m.Priority)*float64(spare))
 }
 
 // expected is how many calls go before one that arrives, and how long it is
@@ -322,8 +318,8 @@
 			ahead++
 		}
 	}
-	if len(g.running) >= g.allowed() {
-		wait = g.wait(ahead)
+	if g.free(&m) <= 0 {
+		wait = g.wait(ahead, m.Priority)
 	}
 	if g.bodies.long(&m) {
 		wait += g.bodies.wait(g.queuedBytes(&own))
@@ -345,21 +341,17 @@
 
 // fits tells whether a call can be started now.
 func (g *Gate) fits(a *Arrive) bool {
-	return len(g.running) < g.allowed() && g.bodies.room(a)
+	return g.free(a) > 0 && g.bodies.room(a)
 }
 
-// decided counts a call as queued or refused.
-func (g *Gate) decided(refused bool) {
-	x := 0.0
-	if refused {
-		x = 1
-	}
-	g.refused += refusedPart * (x - g.refused)
+// free is how many slots a call may choose from.
+func (g *Gate) free(a *Arrive) int {
+	return g.allowed() - len(g.running) - g.reserve.kept(a.Priority, g.limit.work.of(a.Route))
 }
 
 // startable tells whether a queued call still has the time to be worth a slot.
 func (g *Gate) startable(w waiting) bool {
-	least := time.Duration(leastWork * float64(g.limit.mean))
+	least := time.Duration(leastWork * float64(g.limit.work.of(w.Route)))
 	return w.Aim.IsZero() || !g.now.Add(least).After(w.Deadline)
 }
 
@@ -402,9 +394,11 @@
 }
 
 func (g *Gate) ended(m Ended) {
-	if _, ok := g.running[m.ID]; !ok {
+	priority, ok := g.running[m.ID]
+	if !ok {
 		return
 	}
+	g.reserve.running[priority]--
 	if m.Shed {
 		g.shedAt = g.now
 	}
@@ -456,7 +450,9 @@
 			g.turnAway(&w.Arrive, kind.Full)
 			continue
 		}
-		g.running[w.ID] = g.now
+		g.running[w.ID] = w.Priority
+		g.reserve.running[w.Priority]++
+		g.pressure.started(g.now, w.Priority)
 		g.bodies.begin(g.now, &w.Arrive)
 		g.turn[w.Caller]++
 		g.cmds = append(g.cmds, Start{w.ID})
@@ -472,7 +468,7 @@
 func (g *Gate) next() int {
 	best := -1
 	for i := range g.queue {
-		if g.bodies.room(&g.queue[i].Arrive) && (best < 0 || g.sooner(&g.queue[i], &g.queue[best])) {
+		if g.fits(&g.queue[i].Arrive) && (best < 0 || g.sooner(&g.queue[i], &g.queue[best])) {
 			best = i
 		}
 	}
@@ -497,7 +493,7 @@
 // due is by when a queued call should be done: its aim, or if that is past or
 // unknown, as soon as a call that comes now can be.
 func (w *waiting) due(g *Gate) time.Time {
-	soonest := w.at.Add(g.limit.usual())
+	soonest := w.at.Add(g.limit.work.usual())
 	if w.Aim.After(soonest) {
 		return w.Aim
 	}
--- a/briarrockd/target/gate_test.go
+++ b/briarrockd/target/gate_test.go
@@ -58,6 +58,7 @@
 		d.ScanArgs(t, "deadline", &ms)
 		a.Deadline = start.Add(time.Duration(ms) * time.Millisecond)
 		d.MaybeScanArgs(t, "caller", &a.Caller)
+		d.MaybeScanArgs(t, "route", &a.Route)
 		if d.HasArg("aim") {
 			d.ScanArgs(t, "aim", &ms)
 			a.Aim = start.Add(time.Duration(ms) * time.Millisecond)
@@ -76,7 +77,9 @@
 		if d.HasArg("took") {
 			d.ScanArgs(t, "took", &ms)
 		}
-		return Ended{ID: CallID(id), Took: time.Duration(ms) * time.Millisecond, Shed: d.HasArg("shed"), Failed: d.HasArg("failed")}
+		var route string
+		d.MaybeScanArgs(t, "route", &route)
+		return Ended{ID: CallID(id), Route: route, Took: time.Duration(ms) * time.Millisecond, Shed: d.HasArg("shed"), Failed: d.HasArg("failed")}
 	case "drain":
 		return Drain{On: true}
 	case "tick":
--- a/briarrockd/target/limiter.go
+++ b/briarrockd/target/limiter.go
@@ -21,22 +21,22 @@
 	// number of slots that is too high shows as calls that slow each other.
 	slowdown = 4
 	// quietShare is the part of the limit up to which load counts as low.
-	quietShare  = 0.5
-	meanWeight  = 0.1
-	quietWeight = 0.05
+	quietShare = 0.5
+	// slownessWeight is the weight of the newest call in the slowness.
+	slownessWeight = 0.1
 	// coldShare is the part of the slots that a cold target starts with.
 	coldShare = 4
-	// firstGuess stands for the usual duration before any is known.
-	firstGuess = 5 * time.Millisecond
 )
 
 // limiter is a concurrency limit between a part of the announced slots and
 // all of them. It goes up by about one for each round of calls that end well at
 // a full limit, and down by a factor when the target refuses or slows down.
 type limiter struct {
-	limit    float64
-	mean     time.Duration
-	quiet    time.Duration // mean duration at low load
+	limit float64
+	work  work
+	// slowness is how many times their usual duration at low load the last few
+	// calls took; 0 if not known.
+	slowness float64
 	shrankAt time.Time
 }
 
@@ -49,14 +49,6 @@
 
 func (l *limiter) value() int { return int(l.limit) }
 
-// usual is how long a call takes as a rule.
-func (l *limiter) usual() time.Duration {
-	if l.mean == 0 {
-		return firstGuess
-	}
-	return l.mean
-}
-
 // ended takes the end of a call. running counts the calls that ran, that one
 // included.
 func (l *limiter) ended(now time.Time, m Ended, running, slots int) {
@@ -68,8 +60,10 @@
 	if m.Failed || m.Took <= 0 {
 		return
 	}
-	l.measure(m.Took, float64(running) <= quietShare*l.limit)
-	if full && l.quiet > 0 && l.mean > slowdown*l.quiet {
+	if x := l.work.ended(m.Route, m.Took, float64(running) <= quietShare*l.limit); x > 0 {
+		l.slowness += slownessWeight * (x - l.slowness)
+	}
+	if full && l.slowness > slowdown {
 		l.lower(now, slowFloor*float64(slots))
 		return
 	}
@@ -78,20 +72,6 @@
 	}
 }
 
-func (l *limiter) measure(took time.Duration, quiet bool) {
-	if l.mean == 0 {
-		l.mean = took
-	}
-	l.mean += time.Duration(meanWeight * float64(took-l.mean))
-	if !quiet {
-		return
-	}
-	if l.quiet == 0 {
-		l.quiet = took
-	}
-	l.quiet += time.Duration(quietWeight * float64(took-l.quiet))
-}
-
 // lower takes the limit down by a step, though not below a floor.
 func (l *limiter) lower(now time.Time, floor float64) {
 	if now.Sub(l.shrankAt) < shrinkEvery {
--- /dev/null
+++ b/briarrockd/target/pressure.go
@@ -0,0 +1,84 @@
+package target
+
+import (
+	"time"
+
+	"briarrock.example/mesh/snapshot"
+)
+
+const (
+	// pressedFor is how long after the refusal of a call the own region counts
+	// as short of room.
+	pressedFor = 500 * time.Millisecond
+	// lesserFor is how long after the start of a less urgent call there counts as
+	// being more of its kind: the more urgent ones get those slots first.
+	lesserFor = 500 * time.Millisecond
+	// leastPatience is the part of its spare time that a call may wait in any
+	// case. A slot that comes free with nobody waiting stays so until the next
+	// call arrives; a few that wait keep them all at work.
+	leastPatience = 0.15
+	// refusedPart is the weight of the newest call in the share that is refused,
+	// so that the share tells of the last twenty calls.
+	refusedPart = 0.05
+	// refusedMost is the share of refused calls from which on nothing queues
+	// beyond leastQueue.
+	refusedMost = 0.15
+)
+
+// pressure is how short of room a gate is for calls of each priority.
+type pressure struct {
+	// refusedAt is when calls of the own region were last refused.
+	refusedAt [snapshot.MostUrgent + 1]time.Time
+	// share is the part of the last calls that found no room.
+	share [snapshot.MostUrgent + 1]float64
+	// startedAt is when a call was last started.
+	startedAt [snapshot.MostUrgent + 1]time.Time
+}
+
+// refused notes that a call of the own region was refused.
+func (p *pressure) refused(now time.Time, priority snapshot.Priority) {
+	p.refusedAt[min(priority, snapshot.MostUrgent)] = now
+}
+
+// on tells whether calls of at least a priority were refused a moment ago.
+func (p *pressure) on(now time.Time, priority snapshot.Priority) bool {
+	for _, at := range p.refusedAt[min(priority, snapshot.MostUrgent):] {
+		if !at.IsZero() && now.Sub(at) < pressedFor {
+			return true
+		}
+	}
+	return false
+}
+
+// decided counts a call as let in or refused.
+func (p *pressure) decided(priority snapshot.Priority, refused bool) {
+	x := 0.0
+	if refused {
+		x = 1
+	}
+	share := &p.share[min(priority, snapshot.MostUrgent)]
+	*share += refusedPart * (x - *share)
+}
+
+// started notes that a call was started.
+func (p *pressure) started(now time.Time, priority snapshot.Priority) {
+	p.startedAt[min(priority, snapshot.MostUrgent)] = now
+}
+
+// patience is the part of its spare time that a call may spend in the queue.
+//
+// A queue bridges the moments in which calls come faster than slots come free.
+// Where they do so all the time it is never empty, and every call waits in it
+// for nothing: as many are done as without. So the more calls are refused, the
+// less of its time a call may spend waiting, and the rest is told at once.
+// As long as less urgent ones are started, though, it is not calls of this
+// priority that there are too many of: the next slots are theirs.
+func (p *pressure) patience(now time.Time, priority snapshot.Priority) float64 {
+	priority = min(priority, snapshot.MostUrgent)
+	for _, at := range p.startedAt[:priority] {
+		if !at.IsZero() && now.Sub(at) < lesserFor {
+			return 1
+		}
+	}
+	return max(leastPatience, 1-p.share[priority]/refusedMost)
+}
--- /dev/null
+++ b/briarrockd/target/reserve.go
@@ -0,0 +1,60 @@
+package target
+
+import (
+	"time"
+
+	"briarrock.example/mesh/snapshot"
+)
+
+const (
+	// runningWeight is the weight of the newest moment in the mean number of
+	// calls that run, looked at as each call arrives.
+	runningWeight = 0.02
+	// spareWeight is that of the newest call in the spare time of a priority.
+	spareWeight = 0.1
+	// priorities is the number of priorities.
+	priorities = int(snapshot.MostUrgent) + 1
+)
+
+// reserve keeps slots for urgent calls that can't wait for the end of long work.
+//
+// Slots are not taken back. Where long calls of little urgency may fill them
+// all, an urgent short one comes too late whatever its place in the queue, and
+// the run at another target that waits for it fails with it. So long calls leave
+// as many slots as the more urgent ones were seen to need, unless these have the
+// time to wait for a slot.
+type reserve struct {
+	running [priorities]int
+	mean    [priorities]float64
+	spare   [priorities]time.Duration
+}
+
+// arrived looks at what runs as a call arrives, and notes its spare time.
+func (r *reserve) arrived(priority snapshot.Priority, spare time.Duration) {
+	for i, n := range r.running {
+		r.mean[i] += runningWeight * (float64(n) - r.mean[i])
+	}
+	r.spare[priority] = average(r.spare[priority], max(spare, 1), spareWeight)
+}
+
+// kept is how many slots a call that takes so long has to leave free for more
+// urgent ones.
+func (r *reserve) kept(priority snapshot.Priority, work time.Duration) int {
+	need, have := 0.0, 0
+	for i := int(priority) + 1; i < priorities; i++ {
+		if r.spare[i] > 0 && r.spare[i] < work {
+			need += r.mean[i]
+			have += r.running[i]
+		}
+	}
+	return max(0, int(need)-have)
+}
+
+// taken is how many slots more urgent calls have as a rule.
+func (r *reserve) taken(priority snapshot.Priority) float64 {
+	n := 0.0
+	for i := int(priority) + 1; i < priorities; i++ {
+		n += r.mean[i]
+	}
+	return n
+}
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -23,6 +23,7 @@
 	HeaderCaller   = "Briarrock-Caller"
 	HeaderPriority = "Briarrock-Priority"
 	HeaderPrint    = "Briarrock-Print" // fingerprint of the request
+	HeaderRoute    = "Briarrock-Route" // name of the route
 	HeaderOnce     = "Briarrock-Once"  // set if it may run only once
 	HeaderFar      = "Briarrock-Far"   // set if the call comes from another region
 	// HeaderLoad tells the entry how taken the target is, and HeaderUsual how
@@ -116,6 +117,7 @@
 	service  string
 	caller   string
 	priority snapshot.Priority
+	route    string
 	deadline time.Time
 	aim      time.Time // zero if the caller's node says none
 	mark     uint64    // fingerprint of the request
@@ -143,6 +145,7 @@
 		caller:   r.Header.Get(HeaderCaller),
 		priority: min(snapshot.Priority(priority), snapshot.MostUrgent),
 		deadline: now.Add(time.Duration(ms) * time.Millisecond),
+		route:    r.Header.Get(HeaderRoute),
 		mark:     mark,
 		trace:    r.Header.Get(HeaderTrace),
 		once:     r.Header.Get(HeaderOnce) != "",
@@ -168,7 +171,7 @@
 		return
 	}
 	relay.Duplex(w, r)
-	arrive := Arrive{Caller: c.caller, Priority: c.priority, Deadline: c.deadline, Aim: c.aim, Far: c.far, Body: r.ContentLength}
+	arrive := Arrive{Caller: c.caller, Priority: c.priority, Route: c.route, Deadline: c.deadline, Aim: c.aim, Far: c.far, Body: r.ContentLength}
 	if t.deps.NoTurns {
 		arrive.Caller = ""
 	}
@@ -236,7 +239,7 @@
 // run passes a call that the gate has started on to its target.
 func (t *Targets) run(w http.ResponseWriter, r *http.Request, x *target, id CallID, c call) {
 	t.started.Inc()
-	ended := Ended{ID: id}
+	ended := Ended{ID: id, Route: c.route}
 	defer func() { x.step(ended) }()
 	began := time.Now()
 	ctx := r.Context()
