A stopping node's target takes work until shortly before the end

Cause: at SIGTERM a node refused all calls to its own target at once, though it serves its callers for 2.25 s more, and was gone for half a second after that.

Change: callers are told first (readiness, Connection: close); the target goes on taking calls, from the own node and others, until half a second before the end of that time; then it takes no new work, the peers are told, and the node serves calls of the runs that are left until these end, for a second at most.

--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -94,6 +94,10 @@
 // passes them on, while the others learn that it leaves.
 const lame = time.Second
 
+// handOver is the last part of that time, in which the host's targets take no
+// more new work.
+const handOver = 500 * time.Millisecond
+
 // New starts a node. It returns once its addresses are listened at.
 func New(cfg settings.Settings, d Deps) (*Node, error) {
 	n := &Node{
@@ -371,18 +375,25 @@
 	n.log.Emit(event.KeysLoaded, nil)
 }
 
-// Stop ends the node gracefully: its targets get no new work at once, peers
-// are told, callers are passed on for a moment and then refused, and what is
-// in flight runs to its end, until ctx ends.
+// Stop ends the node gracefully, until ctx ends.
+//
+// Callers are told first, by readiness and with each answer, and are served
+// until they have had the time to go elsewhere. The host's targets go on taking
+// calls meanwhile: they are well, and in a service with few targets a node that
+// restarts would otherwise take a large part of the room away for seconds. They
+// take no new work shortly before the end, so that what runs there, and the
+// calls that it makes through this node, still come to their end.
 func (n *Node) Stop(ctx context.Context) {
 	n.log.Emit(event.Stopping, nil)
 	n.leaving.Store(true)
-	n.targets.Drain()
-	n.peers.Tell(peer.Leave{})
 	for _, s := range n.servers {
 		s.Drain()
 	}
-	platform.Pause(ctx, max(lame, n.platform.Lame))
+	platform.Pause(ctx, max(lame, n.platform.Lame)-handOver)
+	n.targets.Drain()
+	n.peers.Tell(peer.Leave{})
+	platform.Pause(ctx, handOver)
+	n.awaitRuns(ctx)
 	n.proxy.Leave()
 	var wg sync.WaitGroup
 	for _, s := range n.servers {
@@ -393,6 +404,21 @@
 	n.log.Emit(event.Stopped, nil)
 }
 
+// How long a stopping node waits for the calls that run at its targets: they may
+// make calls of their own, which come to this node.
+const (
+	lookForRuns = 20 * time.Millisecond
+	awaitRuns   = time.Second
+)
+
+func (n *Node) awaitRuns(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, awaitRuns)
+	defer cancel()
+	for ctx.Err() == nil && n.targets.Running() > 0 {
+		platform.Pause(ctx, lookForRuns)
+	}
+}
+
 // sweepEvery is how often old claims are deleted, by one node of the mesh, and
 // shareEvery how often a node looks how many others commit claims.
 const (
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -167,8 +167,8 @@
 		started: d.Metrics.GetOrCreateCounter("briarrock_target_calls_total"),
 		refused: d.Metrics.GetOrCreateCounter("briarrock_target_refused_total"),
 	}
-	d.Metrics.GetOrCreateGauge("briarrock_target_running", func() float64 { return t.count((*Gate).Running) })
-	d.Metrics.GetOrCreateGauge("briarrock_target_queued", func() float64 { return t.count((*Gate).Queued) })
+	d.Metrics.GetOrCreateGauge("briarrock_target_running", func() float64 { return float64(t.Running()) })
+	d.Metrics.GetOrCreateGauge("briarrock_target_queued", func() float64 { return float64(t.count((*Gate).Queued)) })
 	t.wg.Go(t.sweep)
 	return t
 }
@@ -179,14 +179,17 @@
 	t.wg.Wait()
 }
 
-func (t *Targets) count(of func(*Gate) int) float64 {
+// Running is how many calls run at the targets of this host.
+func (t *Targets) Running() int { return t.count((*Gate).Running) }
+
+func (t *Targets) count(of func(*Gate) int) int {
 	n := 0
 	for _, x := range t.list() {
 		x.mu.Lock()
 		n += of(x.gate)
 		x.mu.Unlock()
 	}
-	return float64(n)
+	return n
 }
 
 func (t *Targets) list() []*target {
