A node without links reads the contacts in the table at once

Cause: a node whose contacts from the settings are all gone waited three seconds before it read those that the members leave in the table, and tried one of them each 100 ms.

Change: it reads them after 0.3 to 0.6 s, which is when its contacts would have answered, and tries three at a time; the row is kept up to date within 5 s instead of 20.

--- a/briarrockd/peer/contact.go
+++ b/briarrockd/peer/contact.go
@@ -14,12 +14,14 @@
 	keptContacts = 4
 	// contactsEvery is how often the root of a domain looks whether the row
 	// still names the right addresses, and writes it if not.
-	contactsEvery = 20 * time.Second
-	// aloneFor is how long a node is without any link before it reads the rows;
-	// one that was given no contacts reads them at once. contactsAgain is how
-	// long after that it reads them again, at first and at most.
-	aloneFor          = 3 * time.Second
-	contactsAgain     = 2 * time.Second
+	contactsEvery = 5 * time.Second
+	// aloneFor is about how long a node is without any link before it reads the
+	// rows: all of its contacts would have answered by then. One that was given no
+	// contacts reads them at once. Until it knows the others it can serve nobody.
+	// contactsAgain is how long after that it reads them again, at first and at
+	// most.
+	aloneFor          = 300 * time.Millisecond
+	contactsAgain     = 3 * time.Second
 	contactsAgainMost = 15 * time.Second
 	// bootSpread is the time over which nodes that all start for the first time
 	// spread their reads: the first of them finds nothing and leaves its
@@ -39,8 +41,9 @@
 	written []string
 	writeAt time.Time
 	readAt  time.Time
-	alone   time.Time
 	addrs   []string
+	// readFrom is from when on a node without links reads the rows.
+	readFrom time.Time
 	// rootAt is since when this node has been the first of its domain.
 	rootAt time.Time
 	// reads counts the reads since the node was last linked, and came is set
@@ -55,23 +58,16 @@
 	}
 	h.leaveContacts()
 	if len(h.links) > 0 {
-		h.stored.alone = time.Time{}
+		h.stored.readFrom = time.Time{}
 		h.stored.reads = 0
 		return
 	}
-	if h.stored.alone.IsZero() {
-		h.stored.alone = h.now.Add(h.jitter(aloneFor))
-		if len(h.cfg.Contacts) == 0 {
-			spread := joinSpread
-			if h.cfg.Bootstrap {
-				spread = bootSpread
-			}
-			h.stored.alone = h.now.Add(h.jitter(spread) - aloneFor)
-		}
+	if h.stored.readFrom.IsZero() {
+		h.stored.readFrom = h.now.Add(h.readPause())
 		return
 	}
 	again := min(contactsAgain<<min(h.stored.reads, 3), contactsAgainMost)
-	if h.now.Sub(h.stored.alone) < aloneFor || h.now.Sub(h.stored.readAt) < again {
+	if h.now.Before(h.stored.readFrom) || h.now.Sub(h.stored.readAt) < again {
 		return
 	}
 	h.stored.readAt = h.now
@@ -79,6 +75,19 @@
 	h.do(ReadContacts{})
 }
 
+// readPause is how long a node that has lost its last link, or has none yet,
+// waits before it reads the rows.
+func (h *Heart) readPause() time.Duration {
+	spread, pause := joinSpread, time.Duration(0)
+	if h.cfg.Bootstrap {
+		spread = bootSpread
+	}
+	if len(h.cfg.Contacts) > 0 {
+		pause = aloneFor
+	}
+	return pause + h.jitter(spread)
+}
+
 // leaveContacts writes the row of this domain, at its root, when the first
 // members are others than those in it. A node that has read the rows and still
 // has no link may be the first of all: it leaves its address for the others.
--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -29,6 +29,9 @@
 	// what heals a partition after which the two sides have forgotten each
 	// other.
 	tryEvery = 10 * time.Second
+	// aloneDials is how many contacts a node without links tries at each tick:
+	// some of them may be gone, and an attempt at these takes seconds.
+	aloneDials = 3
 	// joinSpread spreads out first attempts when many nodes start at once.
 	joinSpread = 300 * time.Millisecond
 )
@@ -269,7 +272,11 @@
 			addrs = append(addrs, addr)
 		}
 	}
-	if len(addrs) > 0 {
+	n := 1
+	if alone {
+		n = aloneDials
+	}
+	for range min(n, len(addrs)) {
 		h.dial(addrs[h.rng.IntN(len(addrs))], "", false)
 	}
 }
