--- a/briarrockd/peer/contact.go
+++ b/briarrockd/peer/contact.go
@@ -21,8 +21,8 @@
 	// contactsAgain is how long after that it reads them again, at first and at
 	// most.
 	aloneFor          = 300 * time.Millisecond
-	contactsAgain     = 3 * time.Second
-	contactsAgainMost = 15 * time.Second
+	contactsAgain     = 2200 * time.Millisecond
+	contactsAgainMost = 20 * time.Second
 	// bootSpread is the time over which nodes that all start for the first time
 	// spread their reads: the first of them finds nothing and leaves its
 	// address, and most of the others find that. Of 83 that read within 0.3 s
