A target that has just started has all of its slots

Cause: the limit of a cold target began at a quarter of its slots and grew by one for each round of calls.

Change: the limit doesn't know of cold; the chooser still prefers a warm target.

--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -54,8 +54,6 @@
 type Limits struct {
 	Slots int
 	Queue int
-	// Cold is set for a target that has just started.
-	Cold bool
 	// Link is the bandwidth of the host's link in bytes a second; 0 if not known.
 	Link float64
 }
@@ -201,8 +199,8 @@
 func (g *Gate) allowed() int { return max(1, min(g.slots, g.limit.value())) }
 
 func (g *Gate) limits(l Limits) {
-	if l.Slots != g.slots || l.Cold {
-		g.limit.reset(l.Slots, l.Cold)
+	if l.Slots != g.slots {
+		g.limit.reset(l.Slots)
 	}
 	g.slots = max(1, l.Slots)
 	g.bodies.link = l.Link
--- a/briarrockd/target/limiter.go
+++ b/briarrockd/target/limiter.go
@@ -24,8 +24,6 @@
 	quietShare = 0.5
 	// slownessWeight is the weight of the newest call in the slowness.
 	slownessWeight = 0.1
-	// coldShare is the part of the slots that a cold target starts with.
-	coldShare = 4
 )
 
 // limiter is a concurrency limit between a part of the announced slots and
@@ -40,12 +38,10 @@
 	shrankAt time.Time
 }
 
-func (l *limiter) reset(slots int, cold bool) {
-	l.limit = float64(slots)
-	if cold {
-		l.limit = max(1, l.limit/coldShare)
-	}
-}
+// reset begins anew with all slots. A target that has just started and is slow
+// for a while gets all of them as well: it has as many as ever, and after a
+// restart of a whole service there is no other one to wait for.
+func (l *limiter) reset(slots int) { l.limit = float64(slots) }
 
 func (l *limiter) value() int { return int(l.limit) }
 
--- a/briarrockd/target/load_test.go
+++ b/briarrockd/target/load_test.go
@@ -117,3 +117,18 @@
 	c.Check(float64(busy) >= 0.97*float64(slots*last), qt.IsTrue, qt.Commentf("slots at work %.2f", float64(busy)/float64(slots*last)))
 	c.Check(float64(reads.inTime) >= 0.95*float64(reads.started), qt.IsTrue, qt.Commentf("%+v", reads))
 }
+
+// TestAllBackAtOnce has a whole service come back after a loss of power: every
+// target is cold, takes twice as long for a while, and its callers are all there.
+//
+// Calls get all of the slots from the first moment on, as there is no warm target
+// that could run them instead.
+func TestAllBackAtOnce(t *testing.T) {
+	c := qt.New(t)
+	const slots = 15
+	x := &Targets{deps: Deps{}}
+	g := NewGate(x.limits(Announcement{Slots: slots, State: StateCold}))
+	flows := []flow{{"read", snapshot.Normal, 4 * time.Millisecond, 120 * time.Millisecond, 300 * time.Millisecond, 800 * time.Millisecond}}
+	got := play(g, flows, time.Second)[0]
+	c.Check(got.started >= slots*7, qt.IsTrue, qt.Commentf("%+v", got))
+}
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -222,7 +222,7 @@
 
 // limits are the lesser of what the target announces and the operator allows.
 func (t *Targets) limits(a Announcement) Limits {
-	l := Limits{Slots: a.Slots, Queue: 2 * a.Slots, Cold: a.State == StateCold, Link: t.deps.Link}
+	l := Limits{Slots: a.Slots, Queue: 2 * a.Slots, Link: t.deps.Link}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.snap == nil {
