A target that left before it was heard of stays gone

Left looked only among the targets that were known.

Change: the ID is remembered, with the time of the call and two seconds more as the latest birth: a process that begins later is another one. TestAnnouncements fails without it.

--- a/briarrockd/target/announce.go
+++ b/briarrockd/target/announce.go
@@ -20,6 +20,10 @@
 	// believed after all: the host's clock has gone back between two processes
 	// of the target, and the later one would otherwise never be heard.
 	turnAround = 2
+	// leaveMargin is how much later than a target's word that it leaves a process
+	// of the same ID must have begun to be another one: it is up for about so long
+	// after it, and the host's clock may have been set back since it began.
+	leaveMargin = 2 * time.Second
 	// maxLeft bounds the memory for targets that have left.
 	maxLeft = 256
 	// checkWithin bounds a health check, checkAgain is the pause after one that
@@ -89,13 +93,16 @@
 
 // noteLeaving remembers that a target leaves: within one process that is final.
 func (t *Targets) noteLeaving(a Announcement) {
-	if a.State != StateDraining || a.ID == "" {
-		return
+	if a.State == StateDraining && a.ID != "" {
+		t.noteLeft(a.ID, a.Born)
 	}
+}
+
+func (t *Targets) noteLeft(id string, born int64) {
 	if len(t.left) >= maxLeft {
 		clear(t.left)
 	}
-	t.left[a.ID] = max(t.left[a.ID], a.Born)
+	t.left[id] = max(t.left[id], born)
 }
 
 // believe acts on an announcement that is not late.
@@ -194,18 +201,33 @@
 }
 
 // Left takes a target's word that it leaves for good.
+//
+// This process may have been started so lately that it hasn't heard of the target
+// before. An announcement that was held up would then seem to be a new target's,
+// and bring work to one that has left. When the target began is not known here,
+// but it was before now.
 func (t *Targets) Left(id string) {
+	if id == "" {
+		return
+	}
+	known := false
 	for _, x := range t.list() {
 		said := t.lastSaid(x)
 		if said.ID != id {
 			continue
 		}
+		known = true
 		said.State = StateDraining
 		t.mu.Lock()
 		t.noteLeaving(said)
 		t.mu.Unlock()
 		t.drop(x, "left")
 	}
+	if !known {
+		t.mu.Lock()
+		t.noteLeft(id, time.Now().Add(leaveMargin).UnixMilli())
+		t.mu.Unlock()
+	}
 }
 
 func (t *Targets) newTarget(a Announcement) *target {
--- a/briarrockd/target/announce_test.go
+++ b/briarrockd/target/announce_test.go
@@ -119,15 +119,17 @@
 		events []event
 		runs   bool
 	}{
-		"up":                                 {200, []event{{1, 1, StateUp}, second}, true},
-		"draining":                           {200, []event{{1, 1, StateUp}, second, {1, 2, StateDraining}}, false},
-		"draining, then a late word of up":   {200, []event{{1, 1, StateUp}, second, {1, 3, StateDraining}, {1, 2, StateUp}, second}, false},
-		"draining is final":                  {200, []event{{1, 1, StateUp}, second, {1, 2, StateDraining}, {1, 3, StateUp}, second}, false},
-		"left":                               {200, []event{{1, 1, StateUp}, second, left}, false},
-		"left, then a late word of up":       {200, []event{{1, 1, StateUp}, second, left, {1, 2, StateUp}, second}, false},
-		"left, then another process":         {200, []event{{1, 1, StateUp}, second, left, {2, 1, StateUp}, second}, true},
-		"a later process counts anew":        {200, []event{{1, 9, StateUp}, second, {2, 1, StateUp}, second}, true},
-		"an earlier process's drain is late": {200, []event{{2, 1, StateUp}, second, {1, 9, StateDraining}}, true},
+		"up":                               {200, []event{{1, 1, StateUp}, second}, true},
+		"draining":                         {200, []event{{1, 1, StateUp}, second, {1, 2, StateDraining}}, false},
+		"draining, then a late word of up": {200, []event{{1, 1, StateUp}, second, {1, 3, StateDraining}, {1, 2, StateUp}, second}, false},
+		"draining is final":                {200, []event{{1, 1, StateUp}, second, {1, 2, StateDraining}, {1, 3, StateUp}, second}, false},
+		"left":                             {200, []event{{1, 1, StateUp}, second, left}, false},
+		"left, then a late word of up":     {200, []event{{1, 1, StateUp}, second, left, {1, 2, StateUp}, second}, false},
+		"left before it was heard of, then a late word of up": {200, []event{left, second, {946684790000, 19, StateUp}, second}, false},
+		"left before it was heard of, then another process":   {200, []event{left, second, second, second, {946684803000, 1, StateUp}, second}, true},
+		"left, then another process":                          {200, []event{{1, 1, StateUp}, second, left, {2, 1, StateUp}, second}, true},
+		"a later process counts anew":                         {200, []event{{1, 9, StateUp}, second, {2, 1, StateUp}, second}, true},
+		"an earlier process's drain is late":                  {200, []event{{2, 1, StateUp}, second, {1, 9, StateDraining}}, true},
 		"a clock that went back is believed in the end": {200, []event{
 			{9, 1, StateUp}, second, {1, 1, StateUp}, second, second, second, second, {1, 2, StateDraining},
 		}, false},
@@ -158,7 +160,10 @@
 				if !x.runs {
 					c.Check(k, qt.Equals, kind.Drain)
 				}
-				told := *h.told.Load()
+				var told []peer.Target
+				if p := h.told.Load(); p != nil {
+					told = *p
+				}
 				open := len(told) == 1 && !told[0].Draining
 				c.Check(open, qt.Equals, x.runs)
 			})
