Callers that have gone are noticed before their request is passed on; connections are bounded by the descriptors

Change: after a request has been read the socket is asked once, without blocking, whether its other side has closed.

TestGoneUnread and TestCrowd fail without it.

--- a/briarrockd/http1/conn.go
+++ b/briarrockd/http1/conn.go
@@ -138,6 +138,10 @@
 	} else {
 		c.prepare(x, req, limits.BodyBytes)
 	}
+	if err == nil && !req.Close && c.br.Buffered() == 0 && hasGone(c.nc) {
+		c.cancel()
+		return nil
+	}
 	if !c.admit(x) {
 		return nil
 	}
@@ -248,7 +252,7 @@
 // connection, and if so notes it. While requests behind x are under way it is
 // not: they have been read, and so will be answered.
 func (c *conn) closesAfter(x *exchange, must bool) bool {
-	if !must && !x.req.Close && !c.s.isDraining() {
+	if !must && !x.req.Close && !c.s.sheds() {
 		return false
 	}
 	c.mu.Lock()
--- a/briarrockd/http1/server.go
+++ b/briarrockd/http1/server.go
@@ -37,8 +37,8 @@
 	Handler http.Handler
 	// Limits, if set, returns the bounds for callers at the moment.
 	Limits func() snapshot.Limits
-	// MaxConns bounds the open connections; 0 for no bound. One more is closed
-	// as soon as it is opened.
+	// MaxConns bounds the open connections; 0 for no bound. One more takes the
+	// place of an idle one, and is closed as soon as it is opened if none is idle.
 	MaxConns int
 	// Panicked, if set, is told of a handler that panicked.
 	Panicked func(v any, stack []byte)
@@ -106,7 +106,7 @@
 	c := newConn(s, nc)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || (s.cfg.MaxConns > 0 && len(s.conns) >= s.cfg.MaxConns) {
+	if s.closed || !s.makeRoom() {
 		_ = nc.Close()
 		return
 	}
@@ -126,10 +126,35 @@
 	s.draining = true
 }
 
-func (s *Server) isDraining() bool {
+// crowded is the part of MaxConns, as crowded/crowdedOf, from which on answers
+// close their connections. Callers who were refused come back on a new one and
+// leave the old one open: in a rush these would take all descriptors, and none
+// would be left for the way to the targets.
+const (
+	crowded   = 1
+	crowdedOf = 2
+)
+
+// sheds tells whether answers should close their connections.
+func (s *Server) sheds() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	return s.draining || (s.cfg.MaxConns > 0 && len(s.conns)*crowdedOf > s.cfg.MaxConns*crowded)
+}
+
+// makeRoom tells whether there is room for one more connection, once an idle one
+// has been closed if need be.
+func (s *Server) makeRoom() bool {
+	if s.cfg.MaxConns == 0 || len(s.conns) < s.cfg.MaxConns {
+		return true
+	}
+	for c := range s.conns {
+		if c.closeIfIdle() {
+			delete(s.conns, c)
+			return true
+		}
+	}
+	return false
 }
 
 // Shutdown closes connections as they become idle, and returns when there are
@@ -163,6 +188,13 @@
 	return busy
 }
 
+// Open returns how many connections are open.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Busy returns how many requests are under way.
 func (s *Server) Busy() int {
 	s.mu.Lock()
--- a/briarrockd/node/http.go
+++ b/briarrockd/node/http.go
@@ -94,7 +94,7 @@
 
 // serveHTTP1 runs one of this project's own servers.
 func (n *Node) serveHTTP1(name string, cfg http1.ServerConfig) {
-	cfg.MaxConns = maxConns[name]
+	cfg.MaxConns = n.maxConns(name)
 	cfg.Panicked = n.panicked
 	s := http1.NewServer(cfg)
 	n.servers = append(n.servers, s)
@@ -115,7 +115,7 @@
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 	n.servers = append(n.servers, netServer{s})
-	l := netutil.LimitListener(n.listeners[name], maxConns[name])
+	l := netutil.LimitListener(n.listeners[name], n.maxConns(name))
 	n.wg.Go(func() {
 		if conf != nil {
 			_ = s.ServeTLS(l, "", "")
--- a/briarrockd/node/platform.go
+++ b/briarrockd/node/platform.go
@@ -38,6 +38,8 @@
 	Bootstrap bool
 	// Link is the bandwidth of the host's link in bytes a second; 0 if unknown.
 	Link float64
+	// Files is how many descriptors the process may have open; 0 if unknown.
+	Files int
 	// Retries is how many retries all nodes together may have saved up.
 	Retries float64
 }
