A restarted node of a small domain reads the configuration at once

Cause: a node that starts gave its peers half a second to send it the version in use.

Change: the node reads the rows of contacts first thing, which tell it whether its domain is one where all members watch; then it looks at once. In a large domain, and at the first start of all, nothing changes: many would read the whole over the same links.

--- a/briarrockd/peer/contact.go
+++ b/briarrockd/peer/contact.go
@@ -10,8 +10,10 @@
 // may find none of its contacts any more: all hosts are replaced in time. Its
 // symptom would be a host that stays by itself.
 const (
-	// keptContacts is how many addresses a domain leaves.
-	keptContacts = 4
+	// keptContacts is how many addresses a domain leaves: one more than a domain
+	// has whose members all watch the platform, so that a node which starts can
+	// tell whether its domain is one of these.
+	keptContacts = wholeDomain + 1
 	// contactsEvery is how often the root of a domain looks whether the row
 	// still names the right addresses, and writes it if not.
 	contactsEvery = 5 * time.Second
@@ -23,6 +25,9 @@
 	aloneFor          = 300 * time.Millisecond
 	contactsAgain     = 2200 * time.Millisecond
 	contactsAgainMost = 20 * time.Second
+	// askSpread is the time over which nodes that are started again together
+	// spread their first reads.
+	askSpread = 100 * time.Millisecond
 	// bootSpread is the time over which nodes that all start for the first time
 	// spread their reads: the first of them finds nothing and leaves its
 	// address, and most of the others find that. Of 83 that read within 0.3 s
@@ -50,6 +55,9 @@
 	// once one has been answered.
 	reads int
 	came  bool
+	// small is set where the row of the own domain names no more members than
+	// may all watch the platform.
+	small bool
 }
 
 func (h *Heart) tickContacts() {
@@ -82,12 +90,23 @@
 	if h.cfg.Bootstrap {
 		spread = bootSpread
 	}
-	if len(h.cfg.Contacts) > 0 {
+	switch {
+	case h.askFirst():
+		spread = askSpread
+	case len(h.cfg.Contacts) > 0:
 		pause = aloneFor
 	}
 	return pause + h.jitter(spread)
 }
 
+// askFirst tells whether this node has just been started, beside others that may
+// have been stopped with it. The rows then also tell it whether it may read the
+// configuration at once, instead of waiting for a peer that has it: after the
+// loss of a whole mesh nobody has.
+func (h *Heart) askFirst() bool {
+	return h.cfg.HeadFed && !h.cfg.Bootstrap && !h.version.peered && !h.stored.came
+}
+
 // leaveContacts writes the row of this domain, at its root, when the first
 // members are others than those in it. A node that has read the rows and still
 // has no link may be the first of all: it leaves its address for the others.
@@ -118,8 +137,10 @@
 	h.do(WriteContacts{addrs})
 }
 
-func (h *Heart) contactsRead(addrs []string) {
+func (h *Heart) contactsRead(m ContactsRead) {
+	addrs := m.Addrs
 	h.stored.came = true
+	h.stored.small = m.Near > 0 && m.Near <= wholeDomain
 	for _, a := range addrs[:min(len(addrs), maxContacts)] {
 		if len(a) <= maxNameSize && a != h.self.Peer {
 			h.stored.addrs = append(h.stored.addrs, a)
--- a/briarrockd/peer/contact_test.go
+++ b/briarrockd/peer/contact_test.go
@@ -32,3 +32,35 @@
 		c.Check(dialed[addr], qt.IsTrue, qt.Commentf("%s", addr))
 	}
 }
+
+// TestAllStopped starts a node after its whole mesh was stopped at once.
+//
+// Nobody holds the configuration, so waiting for a peer that has it only keeps the
+// callers waiting. The rows tell how many members its domain has: in a small one it
+// reads the configuration at once, in a large one, where all would read it over
+// the same links, it gives its peers the usual time.
+func TestAllStopped(t *testing.T) {
+	c := qt.New(t)
+	for near, want := range map[int]bool{1: true, wholeDomain: true, keptContacts: false, 0: false} {
+		now := time.Unix(1000, 0)
+		h := New(Config{Self: member("a"), HeadFed: true, Contacts: []string{"gone:1"}}, rand.New(rand.NewPCG(1, 1)), now)
+		now, cmds := ticks(h, now, askSpread+2*TickEvery)
+		c.Check(count[ReadContacts](cmds), qt.Equals, 1)
+		h.Step(now, ContactsRead{Addrs: []string{"b:1"}, Near: near})
+		now, cmds = ticks(h, now, TickEvery)
+		c.Check(turns(cmds), qt.Equals, want, qt.Commentf("%d near", near))
+		_, more := ticks(h, now, peersFirst)
+		c.Check(turns(append(cmds, more...)), qt.IsTrue)
+	}
+}
+
+// turns tells whether a Heart has decided to look at the platform.
+func turns(cmds []Cmd) bool {
+	on := false
+	for _, x := range cmds {
+		if w, ok := x.(Watch); ok {
+			on = on || w.On
+		}
+	}
+	return on
+}
--- a/briarrockd/peer/duty.go
+++ b/briarrockd/peer/duty.go
@@ -36,7 +36,8 @@
 	// of them don't make each other stop and lapse again in turns.
 	lapseKeep = 5 * time.Second
 	// peersFirst is the time that a starting node gives its peers to send it the
-	// version in use, before it reads the whole from the platform.
+	// version in use, before it reads the whole from the platform. One of a domain
+	// where all watch doesn't wait.
 	peersFirst = 500 * time.Millisecond
 	// maxLookers bounds the hosts whose looks are told apart.
 	maxLookers = 256
@@ -96,7 +97,7 @@
 	i := h.position()
 	switch {
 	case !h.version.ready:
-		w.On = h.version.number > 0 || h.now.Sub(h.watch.startedAt) >= peersFirst
+		w.On = h.version.number > 0 || h.stored.small || h.now.Sub(h.watch.startedAt) >= peersFirst
 	case h.allWatch():
 		w.Wait = watchLong
 	case i >= 0 && i < watchers:
--- a/briarrockd/peer/links.go
+++ b/briarrockd/peer/links.go
@@ -258,14 +258,18 @@
 	if err != nil {
 		return // asked again later
 	}
-	var addrs []string
+	var m ContactsRead
 	for _, row := range rows {
 		var some []string
-		if json.Unmarshal(row.Value, &some) == nil {
-			addrs = append(addrs, some...)
+		if json.Unmarshal(row.Value, &some) != nil {
+			continue
+		}
+		m.Addrs = append(m.Addrs, some...)
+		if row.Key == contactsPrefix+s.domain {
+			m.Near = len(some)
 		}
 	}
-	s.Tell(ContactsRead{addrs})
+	s.Tell(m)
 }
 
 // writeContacts leaves the addresses without a condition: whichever root of a
--- a/briarrockd/peer/message.go
+++ b/briarrockd/peer/message.go
@@ -60,7 +60,12 @@
 }
 
 // ContactsRead is the answer to ReadContacts.
-type ContactsRead struct{ Addrs []string }
+type ContactsRead struct {
+	Addrs []string
+	// Near is how many of them this node's own domain has left; 0 if it has left
+	// none yet.
+	Near int
+}
 
 // Committed says that a version is in the head: this node has put it there, or
 // its watch has seen it.
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -208,7 +208,7 @@
 	case ObjectRead:
 		h.objectRead(m)
 	case ContactsRead:
-		h.contactsRead(m.Addrs)
+		h.contactsRead(m)
 	case Committed:
 		h.committed(m)
 	case Looked:
--- a/briarrockd/peer/rules_test.go
+++ b/briarrockd/peer/rules_test.go
@@ -213,7 +213,7 @@
 				h.Step(now, DialFailed{Addr: cmd.Addr})
 			case ReadContacts:
 				asked++
-				h.Step(now, ContactsRead{[]string{"new:1"}})
+				h.Step(now, ContactsRead{Addrs: []string{"new:1"}})
 			}
 		}
 	}
