No run starts beside a node that can't serve its calls; urgent calls wait for the next slot

Change: a target gets no calls before its node has a configuration. A call whose priority is above that of calls still being started waits until its deadline: the next slot is its own, and a failed call costs the run that waits for it. A node whose look at the store has failed serves as soon as it has been linked for half a second with all who would remember what it served, instead of after three seconds; as long as the store may still answer it waits as before (TestRestart, TestRestartInOutage, the fault matrix).

--- a/briarrockd/node/platform.go
+++ b/briarrockd/node/platform.go
@@ -120,6 +120,9 @@
 	f.tell(peer.Committed{Version: v.Number, Hash: snapshot.Sum(b), Content: b, Seen: v.Seen, At: v.At})
 }
 
+// Failed says that a look had no answer.
+func (f *Follow) Failed() { f.tell(peer.LookFailed{}) }
+
 // Looked says that a look found nothing newer than what was told.
 func (f *Follow) Looked(seen uint64, at time.Time) {
 	f.tell(peer.Looked{Seen: seen, At: at})
--- a/briarrockd/peer/contact_test.go
+++ b/briarrockd/peer/contact_test.go
@@ -64,3 +64,27 @@
 	}
 	return on
 }
+
+// TestRestartInOutage restarts a node of a running mesh while the platform's store
+// gives no answer.
+//
+// Until it serves, its callers are refused and its target stands idle. It may not
+// serve less than before; but whoever remembers that has told it, half a second
+// after it has met them all, so it need not wait any longer. As long as the store
+// may still answer it waits for that.
+func TestRestartInOutage(t *testing.T) {
+	c := qt.New(t)
+	for _, failed := range []bool{true, false} {
+		now := time.Unix(1000, 0)
+		h := New(Config{Self: member("a"), HeadFed: true}, rand.New(rand.NewPCG(1, 1)), now)
+		version := content(c, 4, 4)
+		h.Step(now, Tick{})
+		h.Step(now, LinkUp{Link: 1, Hello: Hello{Member: member("b"), Version: 4, Hash: version.Hash}, Addr: "b:1"})
+		h.Step(now, Received{1, version})
+		if failed {
+			h.Step(now, LookFailed{})
+		}
+		_, cmds := ticks(h, now, metAfter+confirmWithin+2*TickEvery)
+		c.Check(len(used(cmds)) > 0, qt.Equals, failed)
+	}
+}
--- a/briarrockd/peer/floor.go
+++ b/briarrockd/peer/floor.go
@@ -128,6 +128,36 @@
 	h.serve()
 }
 
+// metAll tells whether this node has been linked for a while with everybody who
+// remembers what it served, while the platform can't be asked: its neighbours in the domain, and one member of each
+// other domain of the region. A version is served only once one of them holds it.
+func (h *Heart) metAll() bool {
+	if len(h.links) == 0 || h.watch.fails == 0 {
+		return false
+	}
+	long := func(l *link) bool { return l != nil && h.now.Sub(l.openedAt) >= metAfter }
+	for _, r := range h.neighbours() {
+		if !long(h.byHost[r.Host]) {
+			return false
+		}
+	}
+	met := make(map[string]bool)
+	for _, l := range h.byHost {
+		met[l.domain] = met[l.domain] || long(l)
+	}
+	others := 0
+	for _, name := range h.table.names() {
+		if name == h.self.Domain || h.table.domains[name].region != h.self.Region {
+			continue
+		}
+		others++
+		if !met[name] && h.position() < bridges {
+			return false
+		}
+	}
+	return others > 0 || len(h.table.members(h.self.Domain)) > 1
+}
+
 // becomeReady decides when a node that has just started may serve.
 //
 // Its host keeps nothing, so it can't know what it served before. The fault
@@ -136,7 +166,8 @@
 // on one host. A head that was read after this process started is at least as
 // new as anything that it ever served, since versions are served only after
 // they are the head. Where the store can't be reached, the node waits for its
-// domain's peers and never goes below what they saw it use.
+// domain's peers and never goes below what they saw it use: once a look has failed,
+// until it has met all of those who would remember, or else for serveAfter.
 func (h *Heart) becomeReady() {
 	v := &h.version
 	if v.ready || v.number == 0 || v.number < v.floor {
@@ -144,7 +175,7 @@
 	}
 	fresh := h.watch.freshAt.After(h.watch.startedAt.Add(freshMargin)) || h.watch.own
 	waited := !v.started.IsZero() && h.now.Sub(v.started) >= serveAfter
-	if !fresh && (!waited || !v.peered) {
+	if !fresh && !h.metAll() && (!waited || !v.peered) {
 		return
 	}
 	v.ready = true
--- a/briarrockd/peer/message.go
+++ b/briarrockd/peer/message.go
@@ -67,6 +67,9 @@
 	Near int
 }
 
+// LookFailed says that this node's own look at the platform had no answer.
+type LookFailed struct{}
+
 // Committed says that a version is in the head: this node has put it there, or
 // its watch has seen it.
 type Committed struct {
@@ -108,6 +111,7 @@
 func (HeadRead) msg()       {}
 func (ObjectRead) msg()     {}
 func (ContactsRead) msg()   {}
+func (LookFailed) msg()     {}
 func (Committed) msg()      {}
 func (Looked) msg()         {}
 func (Crashed) msg()        {}
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -213,6 +213,8 @@
 		h.committed(m)
 	case Looked:
 		h.looked(m)
+	case LookFailed:
+		h.watch.fails++
 	case Crashed:
 		h.crashed(m)
 	case Leave:
--- a/briarrockd/peer/version.go
+++ b/briarrockd/peer/version.go
@@ -36,6 +36,9 @@
 	// serveAfter is how long a node that has just started waits for word that
 	// is newer than its start, before it serves what its peers hold.
 	serveAfter = 3 * time.Second
+	// metAfter is how long a link is open until all that its peer remembers has
+	// come over it.
+	metAfter = 500 * time.Millisecond
 )
 
 // versions is what a node holds of the configuration.
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -103,6 +103,7 @@
 	w.seen = max(w.seen, k.seen)
 	if k.own {
 		w.own = true
+		w.fails = 0
 		w.duty.ownAt = later(w.duty.ownAt, k.at)
 		return
 	}
--- a/briarrockd/target/announce.go
+++ b/briarrockd/target/announce.go
@@ -126,7 +126,7 @@
 func (t *Targets) admit(x *target) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if x.admitted || (x.heard < admitAfter && x.said.ID != "" && t.healthPath(x.service) != "") {
+	if x.admitted || t.snap == nil || (x.heard < admitAfter && x.said.ID != "" && t.healthPath(x.service) != "") {
 		return false
 	}
 	x.admitted = true
@@ -134,9 +134,6 @@
 }
 
 func (t *Targets) healthPath(service string) string {
-	if t.snap == nil {
-		return ""
-	}
 	svc, ok := t.snap.Service(service)
 	if !ok {
 		return ""
@@ -150,7 +147,15 @@
 // A process that was restarted beside a target which is leaving knows nothing
 // of that. A late announcement could tell it that the target is up, and it
 // would send new work to it. The target's own answer is of the moment.
+//
+// Before the node has a configuration no call passes: the calls that a run makes
+// come to this very node, and would all be refused.
 func (t *Targets) check(x *target) {
+	select {
+	case <-t.done:
+		return
+	case <-t.configured:
+	}
 	for {
 		ok := t.healthy(x)
 		t.mu.Lock()
--- a/briarrockd/target/announce_test.go
+++ b/briarrockd/target/announce_test.go
@@ -55,6 +55,18 @@
 const address = "10.0.0.7:80"
 
 func newHost() *host {
+	h := newBareHost()
+	h.Configure(posting)
+	return h
+}
+
+// posting is a version with one service.
+var posting = &snapshot.Snapshot{Services: []snapshot.Service{{
+	Name: "posting", Slots: 100, Queue: snapshot.QueueBySlots, Health: "/health",
+}}}
+
+// newBareHost is a host whose node has no configuration yet.
+func newBareHost() *host {
 	h := new(host)
 	h.health.Store(http.StatusOK)
 	p := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
@@ -72,9 +84,6 @@
 		Suspicion: func(uint64) int { return 0 },
 		Stall:     time.Minute, Dial: p.dial, Silent: 6 * time.Second,
 	})
-	h.Configure(&snapshot.Snapshot{Services: []snapshot.Service{{
-		Name: "posting", Slots: 100, Queue: snapshot.QueueBySlots, Health: "/health",
-	}}})
 	h.stop = func() {
 		close(p.done)
 		h.Close()
@@ -194,3 +203,28 @@
 		c.Check(ran, qt.IsTrue)
 	})
 }
+
+// TestNoVersion restarts a node while it can't get a configuration.
+//
+// Its target announces itself, but a run there would make its calls to this node,
+// which has to refuse them: the caller would get the run's failure. So no call
+// passes until the first version is there, and then at once.
+func TestNoVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newBareHost()
+		defer h.stop()
+		for seq := range int64(5) {
+			h.Heard(said("i-1", 1, seq, StateUp))
+			time.Sleep(time.Second)
+		}
+		synctest.Wait()
+		ran, k := h.call()
+		c.Check(ran, qt.IsFalse)
+		c.Check(k, qt.Equals, kind.Drain)
+		h.Configure(posting)
+		synctest.Wait()
+		ran, _ = h.call()
+		c.Check(ran, qt.IsTrue)
+	})
+}
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -299,11 +299,11 @@
 		return false
 	}
 	work := g.limit.work.of(m.Route)
-	if ahead < leastQueue {
+	if ahead < leastQueue || g.pressure.first(g.now, m.Priority) {
 		return !g.now.Add(wait + work).After(m.Deadline)
 	}
 	spare := m.Aim.Sub(g.now) - time.Duration(workSpread*float64(work))
-	return wait <= time.Duration(g.pressure.patience(g.now, m.Priority)*float64(spare))
+	return wait <= time.Duration(g.pressure.patience(m.Priority)*float64(spare))
 }
 
 // expected is how many calls go before one that arrives, and how long it is
@@ -418,15 +418,15 @@
 }
 
 // expire refuses queued calls whose deadline has passed, and those that were
-// queued for an aim which is past now: they did not run, and their callers have
-// the time to ask elsewhere.
+// queued for an aim which is past now, unless the next slot is theirs: they did not
+// run, and their callers have the time to ask elsewhere.
 func (g *Gate) expire() {
 	kept := g.queue[:0]
 	for _, w := range g.queue {
 		switch {
 		case !w.Deadline.After(g.now):
 			g.refuse(w.ID, kind.Deadline)
-		case w.Aim.After(w.at) && !w.Aim.After(g.now):
+		case w.Aim.After(w.at) && !w.Aim.After(g.now) && !g.pressure.first(g.now, w.Priority):
 			g.turnAway(&w.Arrive, kind.Full)
 		default:
 			kept = append(kept, w)
@@ -506,7 +506,7 @@
 	var at time.Time
 	for _, w := range g.queue {
 		ends := w.Deadline
-		if w.Aim.After(w.at) && w.Aim.Before(ends) {
+		if w.Aim.After(g.now) && w.Aim.Before(ends) {
 			ends = w.Aim
 		}
 		if at.IsZero() || ends.Before(at) {
--- a/briarrockd/target/pressure.go
+++ b/briarrockd/target/pressure.go
@@ -71,14 +71,17 @@
 // Where they do so all the time it is never empty, and every call waits in it
 // for nothing: as many are done as without. So the more calls are refused, the
 // less of its time a call may spend waiting, and the rest is told at once.
-// As long as less urgent ones are started, though, it is not calls of this
-// priority that there are too many of: the next slots are theirs.
-func (p *pressure) patience(now time.Time, priority snapshot.Priority) float64 {
-	priority = min(priority, snapshot.MostUrgent)
-	for _, at := range p.startedAt[:priority] {
+func (p *pressure) patience(priority snapshot.Priority) float64 {
+	return max(leastPatience, 1-p.share[min(priority, snapshot.MostUrgent)]/refusedMost)
+}
+
+// first tells whether less urgent calls are still started. Then it is not calls of
+// this priority that there are too many of: the next slots are theirs.
+func (p *pressure) first(now time.Time, priority snapshot.Priority) bool {
+	for _, at := range p.startedAt[:min(priority, snapshot.MostUrgent)] {
 		if !at.IsZero() && now.Sub(at) < lesserFor {
-			return 1
+			return true
 		}
 	}
-	return max(leastPatience, 1-p.share[priority]/refusedMost)
+	return false
 }
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -115,6 +115,8 @@
 	gone    bool // the node itself is leaving
 	done    chan struct{}
 	wg      sync.WaitGroup
+	// configured is closed with the first version.
+	configured chan struct{}
 
 	// left are the targets that have said that they leave, by their ID, with
 	// the time of their start.
@@ -160,12 +162,14 @@
 		d.Dial = http1.Dialer(dialTimeout)
 	}
 	t := &Targets{
-		deps:    d,
-		all:     make(map[string]*target),
-		left:    make(map[string]int64),
-		done:    make(chan struct{}),
-		started: d.Metrics.GetOrCreateCounter("briarrock_target_calls_total"),
-		refused: d.Metrics.GetOrCreateCounter("briarrock_target_refused_total"),
+		deps: d,
+		all:  make(map[string]*target),
+		left: make(map[string]int64),
+		done: make(chan struct{}),
+
+		configured: make(chan struct{}),
+		started:    d.Metrics.GetOrCreateCounter("briarrock_target_calls_total"),
+		refused:    d.Metrics.GetOrCreateCounter("briarrock_target_refused_total"),
 	}
 	d.Metrics.GetOrCreateGauge("briarrock_target_running", func() float64 { return float64(t.Running()) })
 	d.Metrics.GetOrCreateGauge("briarrock_target_queued", func() float64 { return float64(t.count((*Gate).Queued)) })
@@ -213,6 +217,9 @@
 // Configure takes the limits of a new version.
 func (t *Targets) Configure(s *snapshot.Snapshot) {
 	t.mu.Lock()
+	if t.snap == nil {
+		close(t.configured)
+	}
 	t.snap = s
 	t.mu.Unlock()
 	for _, x := range t.list() {
