--- a/briarrockd/peer/duty.go
+++ b/briarrockd/peer/duty.go
@@ -20,9 +20,9 @@
 	// for itself: so few copies cost less than the talk that saves them.
 	wholeDomain = 4
 	// watchLong is how long one question waits for a change where all watch. A
-	// longer one costs fewer calls; a connection that goes silent is found by
-	// its probes meanwhile.
-	watchLong = 10 * time.Second
+	// longer one costs fewer calls; but one whose store has fallen silent and come
+	// back meanwhile is waited for in vain until its end.
+	watchLong = 6 * time.Second
 	// watchShort is the same for the watchers of a large domain: others count on
 	// the news that there is nothing new.
 	watchShort = time.Second
