A region with room takes calls from afar at once

Its gates turned 70 % of the calls from afar away, 800 of 1,544 with just the one slot free that they keep, and each refusal was remembered for half a second as if the region were pressed; 5,263 calls were refused without asking there. After the target's own refusals (13 to 21 s) the limits had been left lower: they rose only where they were reached, which calls from afar never do.

Change: a gate says in its refusal whether its region is pressed (half a second) or just out of room for a moment, and the entry remembers that; a second after the last trouble the limit rises with each call that ends well.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -101,7 +101,7 @@
 	f.Failed = a.kind == kind.Refused || a.kind == kind.Broken || a.kind == kind.Late
 	f.Poor = a.kind == kind.Shed || a.failure()
 	f.Leaving = a.kind == kind.Drain
-	f.Full = a.kind == kind.Full
+	f.Full, f.Again = a.kind == kind.Full, a.after
 	return f
 }
 
--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -65,8 +65,8 @@
 	// full target after the other.
 	fullLeast = 2 * time.Millisecond
 	fullMost  = 20 * time.Millisecond
-	// farFullFor is the same for one in another region. There it is not a slot
-	// that is missing for a moment: the region has no room to spare.
+	// farFullFor is the most for one in another region, which says itself how
+	// long it has no room to spare; the way there is long, and paid.
 	farFullFor = 500 * time.Millisecond
 	// leavingFor is how long an upstream that leaves is left alone.
 	leavingFor = 3 * time.Second
@@ -89,9 +89,11 @@
 	Poor bool
 	// Leaving is set when the target's node said that the target leaves.
 	Leaving bool
-	// Full is set when the target's node had no room for a call of Priority.
+	// Full is set when the target's node had no room for a call of Priority, and
+	// Again is when it said that it is worth asking again; 0 if it didn't.
 	Full     bool
 	Priority snapshot.Priority
+	Again    time.Duration
 }
 
 // state is what is remembered of one upstream.
@@ -116,6 +118,8 @@
 	// priority fullTo.
 	fullAt time.Time
 	fullTo snapshot.Priority
+	// again is when it said then that it is worth asking again.
+	again time.Duration
 	// far is set for an upstream in another region, slots are those that it has.
 	far   bool
 	slots int
@@ -336,7 +340,7 @@
 		s.leaving = now.Add(leavingFor)
 	}
 	if f.Full {
-		s.noRoom(now, f.Priority)
+		s.noRoom(now, f)
 	}
 	if f.Unreached {
 		s.until = later(s.until, now.Add(unreachedFor))
@@ -355,11 +359,12 @@
 }
 
 // noRoom notes that there was no room for a call.
-func (s *state) noRoom(now time.Time, priority snapshot.Priority) {
+func (s *state) noRoom(now time.Time, f Feedback) {
+	priority := f.Priority
 	if s.fullNow(now, s.fullTo) {
 		priority = max(priority, s.fullTo)
 	}
-	s.fullAt, s.fullTo = now, priority
+	s.fullAt, s.fullTo, s.again = now, priority, f.Again
 }
 
 // fullNow tells whether there is known to be no room for a call.
@@ -370,7 +375,7 @@
 // fullFor is how long the upstream is left alone after it had no room.
 func (s *state) fullFor() time.Duration {
 	if s.far {
-		return farFullFor
+		return min(max(s.again, fullMost), farFullFor)
 	}
 	if s.usual == 0 {
 		return fullMost
--- a/briarrockd/caller/pressed_test.go
+++ b/briarrockd/caller/pressed_test.go
@@ -20,7 +20,7 @@
 	set := table(members()).sets["orderdesk"]
 	ch := NewChooser("northgate", "north-line", 1)
 	now := time.Unix(100, 0)
-	asked := 0
+	asked, again := 0, time.Second
 	ask := func() {
 		for {
 			u, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
@@ -28,7 +28,7 @@
 				return
 			}
 			asked++
-			ch.done(now, "orderdesk", u.host, Feedback{Load: 1, Full: true, Priority: snapshot.Normal})
+			ch.done(now, "orderdesk", u.host, Feedback{Load: 1, Full: true, Priority: snapshot.Normal, Again: again})
 		}
 	}
 	ask()
@@ -39,6 +39,11 @@
 	ask()
 	c.Check(asked, qt.Equals, 8, qt.Commentf("only the own region's"))
 	now = now.Add(farFullFor)
+	asked, again = 0, 50*time.Millisecond
+	ask()
+	c.Check(asked, qt.Equals, len(set))
+	// Now the other region was only out of room for a moment.
+	now = now.Add(again)
 	asked = 0
 	ask()
 	c.Check(asked, qt.Equals, len(set))
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -208,10 +208,19 @@
 }
 
 func (g *Gate) refuse(id CallID, k kind.Kind) {
-	r := Refuse{ID: id, Kind: k}
+	wait := time.Duration(0)
 	if k == kind.Full || k == kind.Limit {
-		r.Wait = max(g.wait(0, snapshot.MostUrgent), leastWait)
-		r.After = max(1, int(r.Wait.Round(time.Second)/time.Second))
+		wait = max(g.wait(0, snapshot.MostUrgent), leastWait)
+	}
+	g.refuseFor(id, k, wait)
+}
+
+// refuseFor refuses a call that is not worth asking for again before wait is over;
+// 0 if nobody knows.
+func (g *Gate) refuseFor(id CallID, k kind.Kind, wait time.Duration) {
+	r := Refuse{ID: id, Kind: k, Wait: wait}
+	if wait > 0 {
+		r.After = max(1, int(wait.Round(time.Second)/time.Second))
 	}
 	g.cmds = append(g.cmds, r)
 }
@@ -246,7 +255,10 @@
 	case !m.Deadline.After(g.now):
 		g.refuse(m.ID, kind.Deadline)
 		return
-	case m.Far && !g.welcomes(&m):
+	case m.Far && g.pressure.on(g.now, m.Priority):
+		g.refuseFor(m.ID, kind.Full, pressedFor)
+		return
+	case m.Far && !g.spares(&m):
 		g.turnAway(&m, kind.Full)
 		return
 	case g.fits(&m):
--- a/briarrockd/target/guest.go
+++ b/briarrockd/target/guest.go
@@ -12,8 +12,8 @@
 	keptFree = 8
 )
 
-// welcomes tells whether a call from another region may have a slot.
-func (g *Gate) welcomes(m *Arrive) bool {
-	free := g.allowed() - len(g.running) - len(g.queue)
-	return free > g.allowed()/keptFree && !g.pressure.on(g.now, m.Priority)
+// spares tells whether there is room beyond what the own region may need in a
+// moment.
+func (g *Gate) spares(m *Arrive) bool {
+	return g.free(m)-len(g.queue) > g.allowed()/keptFree
 }
--- a/briarrockd/target/limiter.go
+++ b/briarrockd/target/limiter.go
@@ -20,6 +20,10 @@
 	// must reach, at a full limit, for the limit to go down: an announced
 	// number of slots that is too high shows as calls that slow each other.
 	slowdown = 4
+	// recoverAfter is how long after a step down calls that end well raise the
+	// limit also where it is not reached: calls that come only where there is room,
+	// as those from other regions, would find none for good.
+	recoverAfter = time.Second
 	// quietShare is the part of the limit up to which load counts as low.
 	quietShare = 0.5
 	// slownessWeight is the weight of the newest call in the slowness.
@@ -28,7 +32,8 @@
 
 // limiter is a concurrency limit between a part of the announced slots and
 // all of them. It goes up by about one for each round of calls that end well at
-// a full limit, and down by a factor when the target refuses or slows down.
+// a full limit, or some time after the last trouble, and down by a factor when the
+// target refuses or slows down.
 type limiter struct {
 	limit float64
 	work  work
@@ -63,7 +68,7 @@
 		l.lower(now, slowFloor*float64(slots))
 		return
 	}
-	if full {
+	if full || now.Sub(l.shrankAt) > recoverAfter {
 		l.limit = min(float64(slots), l.limit+1/l.limit)
 	}
 }
