A node that has just been started doesn't wait for ticks

Change: the first step is taken at once, the contacts are read in it, and what they tell is acted on in the same step; a node without links dials without a spread.

--- a/briarrockd/peer/contact.go
+++ b/briarrockd/peer/contact.go
@@ -25,9 +25,6 @@
 	aloneFor          = 300 * time.Millisecond
 	contactsAgain     = 2200 * time.Millisecond
 	contactsAgainMost = 20 * time.Second
-	// askSpread is the time over which nodes that are started again together
-	// spread their first reads.
-	askSpread = 100 * time.Millisecond
 	// bootSpread is the time over which nodes that all start for the first time
 	// spread their reads: the first of them finds nothing and leaves its
 	// address, and most of the others find that. Of 83 that read within 0.3 s
@@ -72,7 +69,6 @@
 	}
 	if h.stored.readFrom.IsZero() {
 		h.stored.readFrom = h.now.Add(h.readPause())
-		return
 	}
 	again := min(contactsAgain<<min(h.stored.reads, 3), contactsAgainMost)
 	if h.now.Before(h.stored.readFrom) || h.now.Sub(h.stored.readAt) < again {
@@ -86,14 +82,14 @@
 // readPause is how long a node that has lost its last link, or has none yet,
 // waits before it reads the rows.
 func (h *Heart) readPause() time.Duration {
+	if h.askFirst() {
+		return 0
+	}
 	spread, pause := joinSpread, time.Duration(0)
 	if h.cfg.Bootstrap {
 		spread = bootSpread
 	}
-	switch {
-	case h.askFirst():
-		spread = askSpread
-	case len(h.cfg.Contacts) > 0:
+	if len(h.cfg.Contacts) > 0 {
 		pause = aloneFor
 	}
 	return pause + h.jitter(spread)
@@ -149,4 +145,11 @@
 	if extra := len(h.stored.addrs) - maxContacts; extra > 0 {
 		h.stored.addrs = h.stored.addrs[extra:]
 	}
+	if !h.cfg.HeadFed || len(h.links) > 0 {
+		return
+	}
+	// Callers wait for a node that has just been started, so it doesn't wait for
+	// the next tick.
+	h.tickDuty()
+	h.tryStrangers()
 }
--- a/briarrockd/peer/links.go
+++ b/briarrockd/peer/links.go
@@ -174,6 +174,7 @@
 func (s *Links) run() {
 	tick := time.NewTicker(TickEvery)
 	defer tick.Stop()
+	s.step(Tick{})
 	for {
 		select {
 		case <-s.ctx.Done():
--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -295,7 +295,10 @@
 func (h *Heart) dial(addr, host string, lazy bool) {
 	d := h.dials[addr]
 	if d == nil {
-		d = &dialing{nextAt: h.now.Add(h.jitter(dialFirst))}
+		d = &dialing{nextAt: h.now}
+		if len(h.links) > 0 {
+			d.nextAt = h.now.Add(h.jitter(dialFirst))
+		}
 		h.dials[addr] = d
 	}
 	if host != "" {
