A link whose answer comes before its writer was scheduled is kept

Cause, known since: an answer whose end was read before the writer's goroutine had run again to say that the last bytes are out cost its connection.

--- a/briarrockd/http1/link.go
+++ b/briarrockd/http1/link.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,8 @@
 	// a request that is sent just as the other side closes may or may not have
 	// been read.
 	keepMargin = time.Second
+	// tailWithin bounds the wait for a writer that has been given all of a body.
+	tailWithin = time.Second
 	// answerAfterBreak is how long an answer is waited for when the request
 	// could not be written whole: one that refuses a long body comes like this.
 	answerAfterBreak = 200 * time.Millisecond
@@ -46,6 +49,9 @@
 	once    sync.Once
 	// kept is set when the body was wanted by nobody and so not sent.
 	kept bool
+	// left is how many bytes of the body are still to be handed to the writer,
+	// below 0 if nobody knows.
+	left atomic.Int64
 	// passed gets whether another request may follow the answer.
 	passed chan bool
 	stop   func() bool
@@ -62,12 +68,51 @@
 		req: req, answer: make(chan answer, 1), written: make(chan struct{}),
 		passed: make(chan bool, 1), decided: make(chan struct{}),
 	}
+	x.left.Store(req.ContentLength)
+	if req.ContentLength > 0 && req.Body != nil {
+		req.Body = &handing{req.Body, x}
+	}
 	if req.Header.Get("Expect") == Continue && req.Body != nil {
 		req.Body = &expecting{req.Body, x}
 	}
 	return x
 }
 
+// handing is a body that counts what is handed to the writer.
+type handing struct {
+	io.ReadCloser
+	x *trip
+}
+
+// Read implements io.Reader.
+func (b *handing) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.x.left.Add(int64(-n))
+	return n, err //nolint:wrapcheck // io.EOF must pass as it is
+}
+
+// isWritten tells whether the request has been written. An answer can come before
+// its writer has been scheduled to say that the last bytes are out; that is waited
+// for, as the connection would be given up for nothing.
+func (x *trip) isWritten() bool {
+	select {
+	case <-x.written:
+		return true
+	default:
+	}
+	if x.left.Load() != 0 {
+		return false
+	}
+	timer := time.NewTimer(tailWithin)
+	defer timer.Stop()
+	select {
+	case <-x.written:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // decide notes whether the other side wants the body. Only the first word
 // counts.
 func (x *trip) decide(wanted bool) {
@@ -376,10 +421,9 @@
 	if x.unasked() {
 		<-x.written // it ends at once
 	}
-	select {
-	case <-x.written:
+	if x.isWritten() {
 		ok = ok && (x.writeErr == nil || (x.withheld() && x.req.Header.Get(HeaderHeld) != ""))
-	default:
+	} else {
 		// The request is still being written: its rest must not be taken for
 		// the next one, so the connection ends.
 		ok = false
