A stopping node loses no answer that is ready, and ends in time

(1) A pipelined request whose answer is ready waits for the answer before it; a report may take ten seconds, and at the end of the node both go with the connection. (2) Since the node waits for its target's runs it took callers' requests until 3.25 s after SIGTERM, reports among them that could not end by then.

Change: a server that drains gives a request to its handler only when its answer is next, and the answer before it says that the connection closes, so that the caller sends it again elsewhere (TestDrainBehind). Once the callers had time to go, only calls that end before the node does are taken. The end is waited for 0.2 s.

--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -67,9 +67,11 @@
 
 // Proxy takes requests from callers. New makes one; it is an http.Handler.
 type Proxy struct {
-	deps     Deps
-	table    atomic.Pointer[Table]
-	leaving  atomic.Bool
+	deps    Deps
+	table   atomic.Pointer[Table]
+	leaving atomic.Bool
+	// until is when the node ends, in Unix nanoseconds; 0 while it stays.
+	until    atomic.Int64
 	inflight atomic.Int64
 	patience patience
 	calls    *metrics.Counter
@@ -107,6 +109,11 @@
 // Leave makes the proxy refuse new calls: the node is about to stop.
 func (p *Proxy) Leave() { p.leaving.Store(true) }
 
+// LeaveBy makes the proxy refuse calls that may take longer than until t: the node
+// ends then, and what is under way would be broken off. Calls that its own targets
+// still make for what they run are short and pass.
+func (p *Proxy) LeaveBy(t time.Time) { p.until.Store(t.UnixNano()) }
+
 // call is one request on its way, with what was decided about it.
 type call struct {
 	r        *http.Request
@@ -187,6 +194,9 @@
 	if !ok {
 		return c, refusal{kind: kind.Request}
 	}
+	if until := p.until.Load(); until != 0 && c.deadline.UnixNano() > until {
+		return c, refusal{kind: kind.Drain}
+	}
 	p.setAim(c)
 	if len(c.set) == 0 {
 		return c, refusal{kind: kind.Empty, after: emptyAfter}
--- a/briarrockd/http1/conn.go
+++ b/briarrockd/http1/conn.go
@@ -28,7 +28,8 @@
 
 	mu      sync.Mutex
 	pending int
-	last    *exchange
+	// begun is how many of the pending exchanges have been given to the handler.
+	begun int
 	// closing is set once an answer has said that the connection closes: what
 	// is read after that counts as not read.
 	closing bool
@@ -230,15 +231,29 @@
 		return false
 	}
 	c.pending++
-	c.last = x
+	return true
+}
+
+// begins gives an exchange to the handler, unless an answer has already said that
+// the connection closes: its request then counts as not read.
+func (c *conn) begins() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.begun++
 	return true
 }
 
 // ended takes an exchange off. With the last one the idle time begins.
-func (c *conn) ended() {
+func (c *conn) ended(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	if x.begun {
+		c.begun--
+	}
 	if c.pending == 0 && !c.reading && c.ctx.Err() == nil {
 		if c.closing {
 			_ = c.nc.SetReadDeadline(time.Now())
@@ -249,15 +264,15 @@
 }
 
 // closesAfter decides whether the answer of x is the last one of its
-// connection, and if so notes it. While requests behind x are under way it is
-// not: they have been read, and so will be answered.
+// connection, and if so notes it. While requests behind x are being handled it is
+// not: their answers would be lost.
 func (c *conn) closesAfter(x *exchange, must bool) bool {
 	if !must && !x.req.Close && !c.s.sheds() {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !must && c.last != x {
+	if !must && c.begun > 1 {
 		return false
 	}
 	c.closing = true
--- a/briarrockd/http1/crowd_test.go
+++ b/briarrockd/http1/crowd_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -64,3 +65,42 @@
 	c.Check(s.Open() <= most, qt.IsTrue)
 	c.Check(ask(dial(c, addr)).StatusCode, qt.Equals, http.StatusOK)
 }
+
+// TestDrainBehind drains a server while a request is under way, and sends another
+// one behind it on the same connection.
+//
+// The answer of the second could only be given after that of the first, which may
+// take until the server's end: it would be lost although it was ready. So it is not
+// handled; the first answer says that the connection closes, and the caller sends
+// the second one again elsewhere.
+func TestDrainBehind(t *testing.T) {
+	c := qt.New(t)
+	begun, end := make(chan string, 2), make(chan struct{})
+	s, nc := serve(c, http1.ServerConfig{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		begun <- r.URL.Path
+		<-end
+	})})
+	send(c, nc, "GET /1 HTTP/1.1\nHost: a\n\n")
+	c.Assert(<-begun, qt.Equals, "/1")
+	s.Drain()
+	send(c, nc, "GET /2 HTTP/1.1\nHost: a\n\n")
+	c.Assert(until(func() bool { return s.Busy() == 2 }), qt.IsTrue)
+	close(end)
+	br := bufio.NewReader(nc)
+	res, _, err := receive(br)
+	c.Assert(err, qt.IsNil)
+	c.Check(res.Close, qt.IsTrue)
+	_, err = br.ReadByte()
+	c.Check(err, qt.Equals, io.EOF)
+	c.Check(begun, qt.HasLen, 0)
+}
+
+// until waits for a condition that comes true soon.
+func until(ok func() bool) bool {
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok() {
+			return true
+		}
+	}
+	return false
+}
--- a/briarrockd/http1/exchange.go
+++ b/briarrockd/http1/exchange.go
@@ -34,6 +34,8 @@
 	noBody  bool
 	err     error
 	stopped bool
+	// begun is set once the handler has been given the request.
+	begun bool
 }
 
 // run handles the request and completes its answer.
@@ -47,11 +49,18 @@
 	}
 	// A request that may not be repeated is not begun behind others: if one of
 	// their answers closed the connection, the caller would send it again.
-	if x.req.Method != http.MethodGet && x.req.Method != http.MethodHead {
+	// Nor is any other while the server is about to end: an answer that has to
+	// wait for a long one before it would be lost with the connection.
+	if x.req.Method != http.MethodGet && x.req.Method != http.MethodHead || x.c.s.isDraining() {
 		if !x.awaitTurn() {
 			return
 		}
 	}
+	x.begun = x.c.begins()
+	if !x.begun {
+		x.err = ErrClosed
+		return
+	}
 	defer x.cancel()
 	defer x.recovered()
 	x.c.s.cfg.Handler.ServeHTTP(x, x.req)
@@ -78,7 +87,7 @@
 	if x.body != nil {
 		x.body.drain()
 	}
-	x.c.ended()
+	x.c.ended(x)
 	<-x.c.slots
 	close(x.done)
 }
--- a/briarrockd/http1/server.go
+++ b/briarrockd/http1/server.go
@@ -135,6 +135,12 @@
 	crowdedOf = 2
 )
 
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
 // sheds tells whether answers should close their connections.
 func (s *Server) sheds() bool {
 	s.mu.Lock()
--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -415,17 +415,43 @@
 	n.targets.Drain()
 	n.peers.Tell(peer.Leave{})
 	platform.Pause(ctx, handOver)
+	if end, ok := ctx.Deadline(); ok {
+		n.proxy.LeaveBy(end)
+	}
 	n.awaitRuns(ctx)
 	n.proxy.Leave()
-	var wg sync.WaitGroup
-	for _, s := range n.servers {
-		wg.Go(func() { s.Shutdown(ctx) })
-	}
-	wg.Wait()
-	n.end()
+	n.shutdown(ctx)
 	n.log.Emit(event.Stopped, nil)
 }
 
+// shutdown lets what is under way end, and then ends the node. What is not over
+// shortly after ctx is left behind: a call that must not be broken off may have all
+// of its deadline left, and a process that waited for it would be killed.
+func (n *Node) shutdown(ctx context.Context) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		var wg sync.WaitGroup
+		for _, s := range n.servers {
+			wg.Go(func() { s.Shutdown(ctx) })
+		}
+		wg.Wait()
+		n.end()
+	}()
+	select {
+	case <-ended:
+		return
+	case <-ctx.Done():
+	}
+	select {
+	case <-ended:
+	case <-time.After(endMargin):
+	}
+}
+
+// endMargin is how long after the time to stop a node's parts may take to end.
+const endMargin = 200 * time.Millisecond
+
 // How long a stopping node waits for the calls that run at its targets: they may
 // make calls of their own, which come to this node.
 const (
