Counters of who is refused, who crosses and what becomes of returns; gate and chooser by duty

An operator needs the same: refusals by route and kind, returns by their end, attempts and bytes in another region by route, the time that calls wait for a slot. Routes are counted by name up to 64, so that a large version makes no series of its own.

A constant's story of its tuning is gone from bodies.go. No behaviour changes.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -64,6 +64,13 @@
 			a.ran = kind.RanNo
 		}
 	}
+	if u.far {
+		bytes := int64(0)
+		if a.res != nil {
+			bytes = a.res.ContentLength
+		}
+		p.counts.crossed(c.routeName(), bytes)
+	}
 	p.deps.Chooser.done(time.Now(), c.service.Name, u.host, a.feedback(c, out))
 	return a
 }
--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -74,6 +74,7 @@
 	until    atomic.Int64
 	inflight atomic.Int64
 	patience patience
+	counts   counts
 	calls    *metrics.Counter
 	attempts *metrics.Counter
 	took     *metrics.Histogram
@@ -90,6 +91,7 @@
 	}
 	p := &Proxy{
 		deps:     d,
+		counts:   counts{set: d.Metrics},
 		calls:    d.Metrics.GetOrCreateCounter("briarrock_calls_total"),
 		attempts: d.Metrics.GetOrCreateCounter("briarrock_attempts_total"),
 		took:     d.Metrics.GetOrCreateHistogram("briarrock_call_seconds"),
@@ -127,7 +129,9 @@
 	deadline time.Time
 	// aim is when the answer loses most of its worth; zero if the route says
 	// nothing.
-	aim      time.Time
+	aim time.Time
+	// returns is set for a caller that seems to have been refused before.
+	returns  bool
 	body     []byte // kept to be sent again; nil for none or a streamed one
 	streamed bool
 	begun    *begun
@@ -218,7 +222,9 @@
 	}
 	c.aim = c.began.Add(c.route.Aim)
 	if ms, err := strconv.ParseInt(c.r.Header.Get(target.HeaderDeadline), 10, 64); err == nil && c.entry != "" {
-		c.aim = c.aim.Add(-p.patience.passed(c.entry, time.Duration(ms)*time.Millisecond))
+		passed := p.patience.passed(c.entry, time.Duration(ms)*time.Millisecond)
+		c.returns = passed > 0
+		c.aim = c.aim.Add(-passed)
 	}
 }
 
@@ -335,6 +341,12 @@
 // fail answers a call that the node itself gives up.
 func (p *Proxy) fail(w http.ResponseWriter, c *call, k kind.Kind, ran kind.Ran, after time.Duration) {
 	p.deps.Metrics.GetOrCreateCounter(`briarrock_failures_total{kind="` + string(k) + `",ran="` + ran.String() + `"}`).Inc()
+	if ran == kind.RanNo && c.service != nil {
+		p.counts.refused(c.routeName(), k)
+	}
+	if c.returns {
+		p.counts.returned(k, ran)
+	}
 	p.tell(c, k, ran, k.Answer().Status, after)
 	w.Header().Set(target.HeaderTrace, c.trace)
 	relay.FailAfter(w, k, ran, after)
--- /dev/null
+++ b/briarrockd/caller/counts_test.go
@@ -0,0 +1,34 @@
+package caller
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	"briarrock.example/mesh/kind"
+)
+
+// TestCounts refuses calls of more routes than are counted by name: a version of
+// thousands of routes must not make as many series.
+func TestCounts(t *testing.T) {
+	c := qt.New(t)
+	n := counts{set: metrics.NewSet()}
+	for i := range 3 * maxCounted {
+		n.refused(fmt.Sprintf("r%d", i), kind.Full)
+	}
+	n.crossed("r0", 5000)
+	n.returned(kind.Full, kind.RanNo)
+	n.returned(kind.Late, kind.RanUnknown)
+	var b bytes.Buffer
+	n.set.WritePrometheus(&b)
+	text := b.String()
+	c.Check(strings.Count(text, "briarrock_refused_total{"), qt.Equals, maxCounted+1)
+	c.Check(text, qt.Contains, fmt.Sprintf(`briarrock_refused_total{route="other",kind="full"} %d`, 2*maxCounted))
+	c.Check(text, qt.Contains, `briarrock_crossed_bytes_total{route="r0"} 5000`)
+	c.Check(text, qt.Contains, `briarrock_returns_total{end="refused"} 1`)
+	c.Check(text, qt.Contains, `briarrock_returns_total{end="failed"} 1`)
+}
--- a/briarrockd/caller/retry.go
+++ b/briarrockd/caller/retry.go
@@ -296,6 +296,9 @@
 // answer passes a target's answer on. keep, if any, gets a copy of it.
 func (p *Proxy) answer(w http.ResponseWriter, c *call, a attempt, keep *keeper) {
 	p.tell(c, kind.None, a.ran, a.res.StatusCode, 0)
+	if c.returns {
+		p.counts.returned(kind.None, a.ran)
+	}
 	h := w.Header()
 	h.Set(target.HeaderTrace, c.trace)
 	h.Set(kind.HeaderRan, a.ran.String())
--- /dev/null
+++ b/briarrockd/caller/state.go
@@ -0,0 +1,138 @@
+package caller
+
+import (
+	"time"
+
+	"briarrock.example/mesh/snapshot"
+)
+
+// How silence is found: attempts are under way, and nothing comes back.
+const (
+	// quietTimes is how many times the usual time nothing may come back.
+	quietTimes = 4
+	// quietLeast is the least such time, above the way to another region and
+	// the work of most requests.
+	quietLeast = 250 * time.Millisecond
+	quietCost  = 5.0
+)
+
+// Feedback is what one attempt told about an upstream.
+type Feedback struct {
+	// Load is how taken the target said it is; negative if it didn't.
+	Load float64
+	// Usual is how long the target's node says that its work takes as a rule;
+	// 0 if it didn't.
+	Usual time.Duration
+	// Failed is set when no answer came from the target's node.
+	Failed bool
+	// Unreached is set when the target's node could not be connected to.
+	Unreached bool
+	// Poor is set for an answer that was a failure of the target.
+	Poor bool
+	// Leaving is set when the target's node said that the target leaves.
+	Leaving bool
+	// Full is set when the target's node had no room for a call of Priority, and
+	// Again is when it said that it is worth asking again; 0 if it didn't.
+	Full     bool
+	Priority snapshot.Priority
+	Again    time.Duration
+}
+
+// state is what is remembered of one upstream.
+type state struct {
+	inflight int
+	load     float64
+	loadAt   time.Time
+	// since counts the picks since the load was reported.
+	since int
+	usual time.Duration
+	// quietAt is since when attempts have been under way with nothing back.
+	quietAt time.Time
+	poor    float64 // share of the attempts that failed, at poorAt
+	poorAt  time.Time
+	fails   int
+	ejected int // times in a row
+	until   time.Time
+	// leaving is until when the upstream is left alone since it said that it
+	// leaves; by then the members' records say so too.
+	leaving time.Time
+	// fullAt is when the upstream last had no room, for calls up to the
+	// priority fullTo.
+	fullAt time.Time
+	fullTo snapshot.Priority
+	// again is when it said then that it is worth asking again.
+	again time.Duration
+	// far is set for an upstream in another region, slots are those that it has.
+	far   bool
+	slots int
+}
+
+// expected is the load that an upstream is expected to have: what it reported
+// last, fading with age, and what has been sent to it since.
+func (s *state) expected(now time.Time, slots int) float64 {
+	slots = max(slots, 1)
+	halves := float64(now.Sub(s.loadAt)) / float64(loadHalf)
+	own := float64(s.inflight) / float64(slots)
+	reported := s.load/(1+halves) + float64(min(s.since, s.inflight))/float64(slots)
+	return max(own, reported)
+}
+
+// quiet tells whether several attempts have been under way for long with
+// nothing back: the node or its target has stopped, or can't be reached, and
+// no error says so.
+func (s *state) quiet(now time.Time) bool {
+	const attempts = 2 // one alone may just be long work
+	return s.inflight >= attempts && now.Sub(s.quietAt) > max(quietLeast, quietTimes*s.usual)
+}
+
+// noRoom notes that there was no room for a call.
+func (s *state) noRoom(now time.Time, f Feedback) {
+	priority := f.Priority
+	if s.fullNow(now, s.fullTo) {
+		priority = max(priority, s.fullTo)
+	}
+	s.fullAt, s.fullTo, s.again = now, priority, f.Again
+}
+
+// fullNow tells whether there is known to be no room for a call.
+func (s *state) fullNow(now time.Time, priority snapshot.Priority) bool {
+	return priority <= s.fullTo && now.Sub(s.fullAt) < s.fullFor()
+}
+
+// fullFor is how long the upstream is left alone after it had no room.
+func (s *state) fullFor() time.Duration {
+	if s.far {
+		return min(max(s.again, fullMost), farFullFor)
+	}
+	if s.usual == 0 {
+		return fullMost
+	}
+	return min(max(s.usual/time.Duration(max(s.slots, 1)), fullLeast), fullMost)
+}
+
+// told takes the figures of an attempt.
+func (s *state) told(now time.Time, f Feedback) {
+	if f.Load >= 0 {
+		s.load = f.Load
+		s.loadAt = now
+		s.since = 0
+	}
+	if f.Usual > 0 {
+		s.usual = f.Usual
+	}
+	if !f.Failed {
+		s.quietAt = now
+	}
+	bad := 0.0
+	if f.Failed || f.Poor {
+		bad = 1
+	}
+	poor := s.poorNow(now)
+	s.poor = poor + failPart*(bad-poor)
+	s.poorAt = now
+}
+
+// poorNow is the share of the attempts that failed, fading with age.
+func (s *state) poorNow(now time.Time) float64 {
+	return s.poor / (1 + float64(now.Sub(s.poorAt))/float64(failHalf))
+}
--- a/briarrockd/target/bodies.go
+++ b/briarrockd/target/bodies.go
@@ -14,8 +14,7 @@
 	eachAtLeast = 400 << 10
 	// leastBodies is how many may be under way in any case. One alone leaves the
 	// least before the short calls that share the link; that it rests for the way
-	// there and back between two costs less: with two, a service that has both
-	// served 0.50 instead of 0.54 of its short calls' worth at full load.
+	// there and back between two costs less.
 	leastBodies = 1
 	// flowOver is the time over which the use of the link is averaged.
 	flowOver = time.Second
--- /dev/null
+++ b/briarrockd/target/message.go
@@ -0,0 +1,91 @@
+package target
+
+import (
+	"time"
+
+	"briarrock.example/mesh/kind"
+	"briarrock.example/mesh/snapshot"
+)
+
+// CallID names one call at one gate.
+type CallID uint64
+
+// Msg is something that happened at a gate.
+type Msg interface{ msg() }
+
+// Arrive is a call that wants to be run.
+type Arrive struct {
+	ID       CallID
+	Caller   string
+	Priority snapshot.Priority
+	// Route names the route that the call came by, empty if nobody says: calls
+	// of one route take about the same time.
+	Route    string
+	Deadline time.Time
+	// Aim is when the answer loses most of its worth; zero if nobody says.
+	Aim time.Time
+	// Far is set for a call from another region.
+	Far bool
+	// Body is the length of the request's body in bytes, -1 if not known.
+	Body int64
+}
+
+// Gone is a call whose caller went away while it was queued.
+type Gone struct{ ID CallID }
+
+// Taken says that the body of a call that was started has come in.
+type Taken struct{ ID CallID }
+
+// Ended is a call that was started and is now at its end.
+type Ended struct {
+	ID CallID
+	// Route is that of the call.
+	Route string
+	// Took is the time that the target took.
+	Took time.Duration
+	// Shed is set when the target refused it for load.
+	Shed bool
+	// Failed is set when the target broke off, was late or failed: the time that
+	// it took says nothing of how long work takes.
+	Failed bool
+}
+
+// Limits sets what the target and the operator allow.
+type Limits struct {
+	Slots int
+	Queue int
+	// Link is the bandwidth of the host's link in bytes a second; 0 if not known.
+	Link float64
+}
+
+// Drain says that the target leaves: what runs may end, nothing else starts.
+type Drain struct{ On bool }
+
+// Tick says that time has passed.
+type Tick struct{}
+
+func (Arrive) msg() {}
+func (Gone) msg()   {}
+func (Taken) msg()  {}
+func (Ended) msg()  {}
+func (Limits) msg() {}
+func (Drain) msg()  {}
+func (Tick) msg()   {}
+
+// Cmd is what a gate decides.
+type Cmd interface{ cmd() }
+
+// Start lets a call run.
+type Start struct{ ID CallID }
+
+// Refuse turns a call away. After is the number of seconds until it is worth
+// asking again, and Wait the same more finely; 0 if nobody knows.
+type Refuse struct {
+	ID    CallID
+	Kind  kind.Kind
+	After int
+	Wait  time.Duration
+}
+
+func (Start) cmd()  {}
+func (Refuse) cmd() {}
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -181,6 +181,7 @@
 		return
 	}
 	c.waited = time.Since(now)
+	t.waited.Update(c.waited.Seconds())
 	t.run(w, r, x, id, c)
 }
 
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -124,6 +124,7 @@
 
 	started *metrics.Counter
 	refused *metrics.Counter
+	waited  *metrics.Histogram
 }
 
 // target is one target with its gate and its connections. Its service and its
@@ -170,6 +171,7 @@
 		configured: make(chan struct{}),
 		started:    d.Metrics.GetOrCreateCounter("briarrock_target_calls_total"),
 		refused:    d.Metrics.GetOrCreateCounter("briarrock_target_refused_total"),
+		waited:     d.Metrics.GetOrCreateHistogram("briarrock_target_waited_seconds"),
 	}
 	d.Metrics.GetOrCreateGauge("briarrock_target_running", func() float64 { return float64(t.Running()) })
 	d.Metrics.GetOrCreateGauge("briarrock_target_queued", func() float64 { return float64(t.count((*Gate).Queued)) })
