More targets are compared while none is full

Change: the best of four from each distance while no target of the service was full within half a second, of two otherwise.

--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -19,6 +19,12 @@
 	farRegion = 2.5
 	// coldCost keeps a target that has just started from its full share.
 	coldCost = 0.4
+	// calmDraws is how many upstreams of each distance are compared while none has
+	// been full of late: more of them find the faster ones. pressedDraws is the
+	// same when some have: what is known of load is then old sooner, and with
+	// many draws all nodes would send to the same few.
+	calmDraws    = 4
+	pressedDraws = 2
 	// loadHalf is the time after which a reported load counts half.
 	loadHalf = 500 * time.Millisecond
 	// loadKnee is the load from which on a target is expected to slow down;
@@ -64,7 +70,7 @@
 	maxStates = 16384
 )
 
-// Chooser picks upstreams: the cheapest of two at random from each of the own
+// Chooser picks upstreams: the cheapest of a few at random from each of the own
 // domain, the own region and elsewhere. What counts is the load that answers
 // carry, how long the target's work takes, how far it is, what is in flight to
 // it from here and what came of it.
@@ -124,6 +130,10 @@
 func (c *Chooser) best(now time.Time, service string, set []upstream, tried []string, priority snapshot.Priority) (upstream, bool) {
 	usable := c.usable(now, service, set, tried, priority)
 	unit := c.unit(service, set, usable)
+	draws := calmDraws
+	if c.any(service, set, func(s *state) bool { return now.Sub(s.fullAt) < pressedFor }) {
+		draws = pressedDraws
+	}
 	var tiers [tierCount][]int
 	for _, i := range usable {
 		t := c.tier(&set[i])
@@ -131,7 +141,7 @@
 	}
 	best, found, least := 0, false, 0.0
 	for t, list := range tiers {
-		for _, i := range c.two(list) {
+		for _, i := range c.draw(list, draws) {
 			cost := c.cost(now, service, &set[i], unit) + [tierCount]float64{0, farDomain, farRegion}[t]
 			if !found || cost < least {
 				best, found, least = i, true, cost
@@ -160,17 +170,17 @@
 	return known[len(known)/2]
 }
 
-// two draws up to two different elements.
-func (c *Chooser) two(list []int) []int {
-	if len(list) <= 2 {
+// draw takes up to n different elements of a list at random.
+func (c *Chooser) draw(list []int, n int) []int {
+	if len(list) <= n {
 		return list
 	}
-	i := c.rng.IntN(len(list))
-	j := c.rng.IntN(len(list) - 1)
-	if j >= i {
-		j++
+	out := slices.Clone(list)
+	for i := range n {
+		j := i + c.rng.IntN(len(out)-i)
+		out[i], out[j] = out[j], out[i]
 	}
-	return []int{list[i], list[j]}
+	return out[:n]
 }
 
 // usable lists those that were not tried and are not ejected. If ejection
@@ -289,17 +299,19 @@
 // anyFull tells whether an upstream of a set is known to have no room for a
 // call.
 func (c *Chooser) anyFull(now time.Time, service string, set []upstream, priority snapshot.Priority) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return c.any(service, set, func(s *state) bool { return s.fullNow(now, priority) })
 }
 
 // pressed tells whether an upstream of a set had no room within the last time.
 func (c *Chooser) pressed(now time.Time, service string, set []upstream, last time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return c.any(service, set, func(s *state) bool { return now.Sub(s.fullAt) < last })
 }
 
 func (c *Chooser) any(service string, set []upstream, is func(*state) bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	return slices.ContainsFunc(set, func(u upstream) bool {
 		s := c.states[key(service, u.host)]
 		return s != nil && is(s)
--- a/briarrockd/caller/pressed_test.go
+++ b/briarrockd/caller/pressed_test.go
@@ -87,3 +87,39 @@
 	_, ok = ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
 	c.Check(ok, qt.IsFalse)
 }
+
+// TestFasterFirst has targets of different speed and little load: most calls go to
+// the faster ones. When some are full, two are compared, so that not all nodes
+// send to the same target.
+func TestFasterFirst(t *testing.T) {
+	c := qt.New(t)
+	set := table(members()).sets["orderdesk"][:4] // of one domain
+	share := func(full bool) int {
+		ch := NewChooser("northgate", "north-line", 1)
+		now := time.Unix(100, 0)
+		for i, u := range set {
+			usual := 100 * time.Millisecond
+			if i == 0 {
+				usual /= 2
+			}
+			ch.done(now, "orderdesk", u.host, Feedback{Usual: usual})
+		}
+		if full {
+			ch.done(now, "orderdesk", set[1].host, Feedback{Load: -1, Full: true})
+			now = now.Add(fullMost)
+		}
+		fastest := 0
+		for range 200 {
+			u, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
+			c.Assert(ok, qt.IsTrue)
+			if u.host == set[0].host {
+				fastest++
+			}
+			ch.done(now, "orderdesk", u.host, Feedback{})
+		}
+		return fastest
+	}
+	c.Check(share(false), qt.Equals, 200)
+	pressed := share(true)
+	c.Check(pressed > 60 && pressed < 140, qt.IsTrue, qt.Commentf("%d", pressed))
+}
