--- a/briarrockd/http1/conn.go
+++ b/briarrockd/http1/conn.go
@@ -143,7 +143,7 @@
 		c.cancel()
 		return nil
 	}
-	if !c.admit(x) {
+	if !c.admit() {
 		return nil
 	}
 	return x
@@ -223,7 +223,7 @@
 
 // admit counts an exchange as under way, unless an answer has already said
 // that the connection closes: the request then counts as not read.
-func (c *conn) admit(x *exchange) bool {
+func (c *conn) admit() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
--- a/briarrockd/http1/gone.go
+++ b/briarrockd/http1/gone.go
@@ -28,12 +28,11 @@
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		switch {
-		case err == nil:
+		if err == nil {
 			gone = n == 0
-		default:
-			gone = errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE) || errors.Is(err, unix.ETIMEDOUT)
+			return
 		}
+		gone = errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE) || errors.Is(err, unix.ETIMEDOUT)
 	})
 	return gone || err != nil
 }
