What was worth nothing goes: cold cost, least patience, the aim of returning callers

A warm target still goes first, as it is the faster one by what its answers tell. Whether a caller returns is still known, for the counter.

Not built: slots of overdue calls given to others, as a target would get more than its slots.

--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -215,16 +215,15 @@
 	return c, refusal{}
 }
 
-// setAim works out until when the answer is worth most.
+// setAim works out until when the answer is worth most, and whether the caller seems
+// to have been refused before.
 func (p *Proxy) setAim(c *call) {
 	if c.route.Aim == 0 {
 		return
 	}
 	c.aim = c.began.Add(c.route.Aim)
 	if ms, err := strconv.ParseInt(c.r.Header.Get(target.HeaderDeadline), 10, 64); err == nil && c.entry != "" {
-		passed := p.patience.passed(c.entry, time.Duration(ms)*time.Millisecond)
-		c.returns = passed > 0
-		c.aim = c.aim.Add(-passed)
+		c.returns = p.patience.returns(c.entry, time.Duration(ms)*time.Millisecond)
 	}
 }
 
--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -17,8 +17,6 @@
 	// only for one that is more than two sooner.
 	farDomain = 0.5
 	farRegion = 2.5
-	// coldCost keeps a target that has just started from its full share.
-	coldCost = 0.4
 	// calmDraws is how many upstreams of each distance are compared while none has
 	// been full of late: more of them find the faster ones. pressedDraws is the
 	// same when some have: what is known of load is then old sooner, and with
@@ -211,9 +209,6 @@
 // aside, in units of the service's usual time.
 func (c *Chooser) cost(now time.Time, service string, u *upstream, unit time.Duration) float64 {
 	cost := 0.0
-	if u.cold {
-		cost += coldCost
-	}
 	s := c.states[key(service, u.host)]
 	if s == nil {
 		return cost
--- a/briarrockd/caller/table.go
+++ b/briarrockd/caller/table.go
@@ -48,7 +48,6 @@
 	domain string
 	region string
 	slots  int
-	cold   bool
 	// far is set by the chooser on an upstream in another region.
 	far bool
 }
@@ -129,7 +128,7 @@
 		}
 		t.sets[x.Service] = append(t.sets[x.Service], upstream{
 			host: m.Host, addr: m.Call, domain: m.Domain, region: m.Region,
-			slots: min(x.Slots, svc.Slots), cold: x.Cold,
+			slots: min(x.Slots, svc.Slots),
 		})
 	}
 }
--- a/briarrockd/target/pressure.go
+++ b/briarrockd/target/pressure.go
@@ -13,10 +13,6 @@
 	// lesserFor is how long after the start of a less urgent call there counts as
 	// being more of its kind: the more urgent ones get those slots first.
 	lesserFor = 500 * time.Millisecond
-	// leastPatience is the part of its spare time that a call may wait in any
-	// case. A slot that comes free with nobody waiting stays so until the next
-	// call arrives; a few that wait keep them all at work.
-	leastPatience = 0.15
 	// refusedPart is the weight of the newest call in the share that is refused,
 	// so that the share tells of the last twenty calls.
 	refusedPart = 0.05
@@ -72,7 +68,7 @@
 // for nothing: as many are done as without. So the more calls are refused, the
 // less of its time a call may spend waiting, and the rest is told at once.
 func (p *pressure) patience(priority snapshot.Priority) float64 {
-	return max(leastPatience, 1-p.share[min(priority, snapshot.MostUrgent)]/refusedMost)
+	return max(0, 1-p.share[min(priority, snapshot.MostUrgent)]/refusedMost)
 }
 
 // first tells whether less urgent calls are still started. Then it is not calls of
