A restarted node is asked again as soon as its record says that its target is open

Calls reach them before their targets have been heard of; they answer that there is none to go to, as a leaving target's node does, and are left alone for three seconds. A node that had not been stopped refused 985 calls for want of a target until 32.5 s, with four open ones in its table.

Change: that an upstream leaves is remembered of the process that said so.

TestBackAgain fails without it.

--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -107,7 +107,7 @@
 	s.inflight++
 	s.since++
 	best.far = c.tier(&best) == tierCount-1
-	s.far, s.slots = best.far, best.slots
+	s.far, s.slots, s.process = best.far, best.slots, best.process
 	return best, true
 }
 
@@ -191,7 +191,7 @@
 			continue
 		}
 		s := c.states[key(service, set[i].host)]
-		if s != nil && (s.leaving.After(now) || s.fullNow(now, priority)) {
+		if s != nil && (s.leaves(now, &set[i]) || s.fullNow(now, priority)) {
 			continue
 		}
 		rest = append(rest, i)
@@ -263,7 +263,7 @@
 	s.inflight = max(0, s.inflight-1)
 	s.told(now, f)
 	if f.Leaving {
-		s.leaving = now.Add(leavingFor)
+		s.leaving, s.leavingProcess = now.Add(leavingFor), s.process
 	}
 	if f.Full {
 		s.noRoom(now, f)
--- a/briarrockd/caller/pressed_test.go
+++ b/briarrockd/caller/pressed_test.go
@@ -123,3 +123,28 @@
 	pressed := share(true)
 	c.Check(pressed > 60 && pressed < 140, qt.IsTrue, qt.Commentf("%d", pressed))
 }
+
+// TestBackAgain restarts a node, as all are after a loss of power.
+//
+// Calls reach the new process before its target has been heard of, and it answers
+// that there is none to go to. As soon as its record says that the target is open it
+// is asked again: left alone for seconds, as one that leaves is, a whole service would
+// be taken for empty although all of its targets are back.
+func TestBackAgain(t *testing.T) {
+	c := qt.New(t)
+	ms := members()
+	ch := NewChooser("northgate", "north-line", 1)
+	now := time.Unix(100, 0)
+	set := table(ms).sets["orderdesk"]
+	for range set {
+		u, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
+		c.Assert(ok, qt.IsTrue)
+		ch.done(now, "orderdesk", u.host, Feedback{Load: -1, Leaving: true})
+	}
+	_, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
+	c.Check(ok, qt.IsFalse)
+	ms[5].Incarnation++
+	u, ok := ch.pick(now, "orderdesk", table(ms).sets["orderdesk"], nil, snapshot.Normal)
+	c.Check(ok, qt.IsTrue)
+	c.Check(u.host, qt.Equals, ms[5].Host)
+}
--- a/briarrockd/caller/state.go
+++ b/briarrockd/caller/state.go
@@ -56,6 +56,9 @@
 	// leaving is until when the upstream is left alone since it said that it
 	// leaves; by then the members' records say so too.
 	leaving time.Time
+	// leavingProcess is the process of the upstream's node that said so, process the
+	// one that was asked last.
+	leavingProcess, process uint64
 	// fullAt is when the upstream last had no room, for calls up to the
 	// priority fullTo.
 	fullAt time.Time
@@ -85,6 +88,13 @@
 	return s.inflight >= attempts && now.Sub(s.quietAt) > max(quietLeast, quietTimes*s.usual)
 }
 
+// leaves tells whether an upstream has said that it leaves. The word holds for the
+// process that gave it: one that has just been started says so too, until its target
+// has been heard of, and its first record says when that is.
+func (s *state) leaves(now time.Time, u *upstream) bool {
+	return s.leaving.After(now) && s.leavingProcess == u.process
+}
+
 // noRoom notes that there was no room for a call.
 func (s *state) noRoom(now time.Time, f Feedback) {
 	priority := f.Priority
--- a/briarrockd/caller/table.go
+++ b/briarrockd/caller/table.go
@@ -48,6 +48,8 @@
 	domain string
 	region string
 	slots  int
+	// process tells the processes of the host's node apart.
+	process uint64
 	// far is set by the chooser on an upstream in another region.
 	far bool
 }
@@ -128,7 +130,7 @@
 		}
 		t.sets[x.Service] = append(t.sets[x.Service], upstream{
 			host: m.Host, addr: m.Call, domain: m.Domain, region: m.Region,
-			slots: min(x.Slots, svc.Slots),
+			slots: min(x.Slots, svc.Slots), process: m.Incarnation,
 		})
 	}
 }
