--- a/briarrockd/node/http.go
+++ b/briarrockd/node/http.go
@@ -64,6 +64,32 @@
 	}
 }
 
+// maxConns bounds the connections that each listener holds open. The peers'
+// side counts its own.
+var maxConns = map[string]int{callers: 8192, calls: 4096, peers: 4096, operators: 256, announce: 64}
+
+// The parts of the descriptors, as 1/part, that connections of callers and of
+// other nodes may take. What is left is for the way to other nodes and targets:
+// a node that can't open connections there serves nobody.
+const (
+	callersPart = 2
+	callsPart   = 4
+)
+
+func (n *Node) maxConns(name string) int {
+	most, files := maxConns[name], n.platform.Files
+	switch {
+	case files == 0:
+		return most
+	case name == callers:
+		return min(most, files/callersPart)
+	case name == calls:
+		return min(most, files/callsPart)
+	default:
+		return most
+	}
+}
+
 // server is what a node needs of its servers, whichever made them.
 type server interface {
 	// Drain tells callers, with each answer, to open no more requests here.
--- a/briarrockd/peer/floor.go
+++ b/briarrockd/peer/floor.go
@@ -129,8 +129,9 @@
 }
 
 // metAll tells whether this node has been linked for a while with everybody who
-// remembers what it served, while the platform can't be asked: its neighbours in the domain, and one member of each
-// other domain of the region. A version is served only once one of them holds it.
+// remembers what it served, while the platform can't be asked: its neighbours in
+// the domain, and one member of each other domain of the region. A version is
+// served only once one of them holds it.
 func (h *Heart) metAll() bool {
 	if len(h.links) == 0 || h.watch.fails == 0 {
 		return false
--- a/briarrockd/peer/member.go
+++ b/briarrockd/peer/member.go
@@ -50,9 +50,6 @@
 	Service  string `cbor:"1,keyasint"`
 	Slots    int    `cbor:"2,keyasint"`
 	Draining bool   `cbor:"3,keyasint,omitempty"`
-	// Cold is set for a target that has just started and should get its share
-	// of work only slowly.
-	Cold bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Member is a node's record: who it is, where it is and what it offers.
--- a/briarrockd/target/queue.go
+++ b/briarrockd/target/queue.go
@@ -144,9 +144,9 @@
 	g.queue = kept
 }
 
-// next is the queued call to run, -1 if there is none: the first of those whose
-// body the link has room for. Short ones don't wait for a link that they hardly
-// use.
+// next is the queued call to run, -1 if there is none: the first of those that have
+// a slot and whose body the link has room for. Short calls don't wait for a link
+// that they hardly use, nor urgent ones for the room that is kept for them.
 func (g *Gate) next() int {
 	best := -1
 	for i := range g.queue {
--- a/briarrockd/target/reserve.go
+++ b/briarrockd/target/reserve.go
@@ -24,9 +24,12 @@
 // as many slots as the more urgent ones were seen to need, unless these have the
 // time to wait for a slot.
 type reserve struct {
+	// running is how many calls of each priority run now, mean how many do as a
+	// rule.
 	running [priorities]int
 	mean    [priorities]float64
-	spare   [priorities]time.Duration
+	// spare is the time that calls of each priority have beside their work.
+	spare [priorities]time.Duration
 }
 
 // arrived looks at what runs as a call arrives, and notes its spare time.
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -321,7 +321,6 @@
 			Service:  x.service,
 			Slots:    x.said.Slots,
 			Draining: t.gone || !x.admitted || x.said.State == StateDraining,
-			Cold:     x.said.State == StateCold,
 		})
 	}
 	t.mu.Unlock()
