A ready answer is delivered before its node ends

Change: when its time is over, a server ends the work of handlers whose answers share a connection, and gives them 0.1 s: the earlier one gets its last word, those behind it their answers. Requests that were not begun are not begun any more. TestReadyAtTheEnd fails without it.

--- a/briarrockd/http1/conn.go
+++ b/briarrockd/http1/conn.go
@@ -28,8 +28,8 @@
 
 	mu      sync.Mutex
 	pending int
-	// begun is how many of the pending exchanges have been given to the handler.
-	begun int
+	// begun are the pending exchanges that have been given to the handler.
+	begun map[*exchange]struct{}
 	// closing is set once an answer has said that the connection closes: what
 	// is read after that counts as not read.
 	closing bool
@@ -236,24 +236,39 @@
 
 // begins gives an exchange to the handler, unless an answer has already said that
 // the connection closes: its request then counts as not read.
-func (c *conn) begins() bool {
+func (c *conn) begins(x *exchange) bool {
+	ending := c.s.isEnding()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing || ending {
 		return false
 	}
-	c.begun++
+	if c.begun == nil {
+		c.begun = make(map[*exchange]struct{})
+	}
+	c.begun[x] = struct{}{}
 	return true
 }
 
+// cutShort ends the work of the handlers if there are several, so that the answers
+// of the later ones are not held up by the first.
+func (c *conn) cutShort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.begun) < 2 {
+		return
+	}
+	for x := range c.begun {
+		x.cancel()
+	}
+}
+
 // ended takes an exchange off. With the last one the idle time begins.
 func (c *conn) ended(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
-	if x.begun {
-		c.begun--
-	}
+	delete(c.begun, x)
 	if c.pending == 0 && !c.reading && c.ctx.Err() == nil {
 		if c.closing {
 			_ = c.nc.SetReadDeadline(time.Now())
@@ -272,7 +287,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !must && c.begun > 1 {
+	if !must && len(c.begun) > 1 {
 		return false
 	}
 	c.closing = true
--- a/briarrockd/http1/crowd_test.go
+++ b/briarrockd/http1/crowd_test.go
@@ -104,3 +104,37 @@
 	}
 	return false
 }
+
+// TestReadyAtTheEnd ends a server while an answer is ready that waits for the one
+// before it, whose handler is still at work.
+//
+// The caller must get it: its request has run. The earlier one is cut short, and its
+// handler's last word goes first.
+func TestReadyAtTheEnd(t *testing.T) {
+	c := qt.New(t)
+	begun := make(chan struct{}, 2)
+	s, nc := serve(c, http1.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begun <- struct{}{}
+		if r.URL.Path == "/1" {
+			<-r.Context().Done()
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		_, _ = io.WriteString(w, "ready")
+	})})
+	send(c, nc, "GET /1 HTTP/1.1\nHost: a\n\nGET /2 HTTP/1.1\nHost: a\n\n")
+	<-begun
+	<-begun
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	done := make(chan struct{})
+	go func() { defer close(done); s.Shutdown(ctx) }()
+	br := bufio.NewReader(nc)
+	res, _, err := receive(br)
+	c.Assert(err, qt.IsNil)
+	c.Check(res.StatusCode, qt.Equals, http.StatusBadGateway)
+	_, body, err := receive(br)
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, "ready")
+	<-done
+}
--- a/briarrockd/http1/exchange.go
+++ b/briarrockd/http1/exchange.go
@@ -34,8 +34,6 @@
 	noBody  bool
 	err     error
 	stopped bool
-	// begun is set once the handler has been given the request.
-	begun bool
 }
 
 // run handles the request and completes its answer.
@@ -56,8 +54,7 @@
 			return
 		}
 	}
-	x.begun = x.c.begins()
-	if !x.begun {
+	if !x.c.begins(x) {
 		x.err = ErrClosed
 		return
 	}
--- a/briarrockd/http1/server.go
+++ b/briarrockd/http1/server.go
@@ -52,6 +52,7 @@
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining bool
+	ending   bool
 	closed   bool
 	wg       sync.WaitGroup
 }
@@ -170,17 +171,44 @@
 	s.Drain()
 	tick := time.NewTicker(look)
 	defer tick.Stop()
-	for s.closeIdle() > 0 {
+	for ctx.Err() == nil && s.closeIdle() > 0 {
 		select {
 		case <-ctx.Done():
-			s.Close()
-			return
 		case <-tick.C:
 		}
 	}
+	s.cutShort()
+	for end := time.Now().Add(cutWithin); time.Now().Before(end) && s.closeIdle() > 0; {
+		time.Sleep(look)
+	}
 	s.Close()
 }
 
+// cutWithin is the time for the last answers once handlers have been cut short.
+const cutWithin = 100 * time.Millisecond
+
+// cutShort ends the work of handlers whose answers share a connection. One that is
+// ready may be waiting for the one before it, and would be lost with that: once the
+// earlier request has been given up, both are answered.
+func (s *Server) cutShort() {
+	s.mu.Lock()
+	s.ending = true
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		c.cutShort()
+	}
+}
+
+func (s *Server) isEnding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ending
+}
+
 // closeIdle closes idle connections and returns how many others there are.
 func (s *Server) closeIdle() int {
 	s.mu.Lock()
