One predicate says whether a service is pressed

Cause: reading the change again, the choice of an upstream and the hedge each wrote out the same test of how lately an upstream had no room, and pressed took a time that its only caller always gave as pressedFor.

Change: anyPressed holds the test; the choice calls it under the lock it has, pressed takes the lock and calls it. The parameter is gone.

--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -129,7 +129,7 @@
 	usable := c.usable(now, service, set, tried, priority)
 	unit := c.unit(service, set, usable)
 	draws := calmDraws
-	if c.any(service, set, func(s *state) bool { return now.Sub(s.fullAt) < pressedFor }) {
+	if c.anyPressed(now, service, set) {
 		draws = pressedDraws
 	}
 	var tiers [tierCount][]int
@@ -299,11 +299,16 @@
 	return c.any(service, set, func(s *state) bool { return s.fullNow(now, priority) })
 }
 
-// pressed tells whether an upstream of a set had no room within the last time.
-func (c *Chooser) pressed(now time.Time, service string, set []upstream, last time.Duration) bool {
+// pressed tells whether an upstream of a set had no room of late.
+func (c *Chooser) pressed(now time.Time, service string, set []upstream) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.any(service, set, func(s *state) bool { return now.Sub(s.fullAt) < last })
+	return c.anyPressed(now, service, set)
+}
+
+// anyPressed is pressed for who holds the lock.
+func (c *Chooser) anyPressed(now time.Time, service string, set []upstream) bool {
+	return c.any(service, set, func(s *state) bool { return now.Sub(s.fullAt) < pressedFor })
 }
 
 func (c *Chooser) any(service string, set []upstream, is func(*state) bool) bool {
--- a/briarrockd/caller/retry.go
+++ b/briarrockd/caller/retry.go
@@ -272,7 +272,7 @@
 // hedge asks a second target, unless the service is pressed: the attempt would
 // take a slot from a call that has none.
 func (x *race) hedge() {
-	if x.p.deps.Chooser.pressed(time.Now(), x.c.service.Name, x.c.set, pressedFor) {
+	if x.p.deps.Chooser.pressed(time.Now(), x.c.service.Name, x.c.set) {
 		return
 	}
 	if x.hedged || x.under == 0 || !x.mayRun() || !x.p.deps.Budget.hedge(x.c.service.Name) {
