peer: poll the platform from the nearest region's carriers only

Two nodes of each domain polled once a second, each restart of a herd read the whole configuration, and in an outage every node polled.

Change: the two carriers of a region poll, 2 s a poll, and those of a region that is far from the platform leave it to the near one. Freshness notices flood the mesh, also while a poll waits. Nodes without notices say that they try before they do, which spreads the polls of an outage over the mesh. When all start together, and nobody has a version, the carriers read it for the others. A hello says what other domains remember, so that a restarted node need not wait for it, and the poll that confirms a version is asked for in the same step (TestDutyStart now requires that; before, within a tick).

--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -49,6 +49,8 @@
 	// Platform, if set, makes the node one of a platform with protocols of its
 	// own.
 	Platform *Platform
+	// Metrics, if set, is the set that the node's metrics join.
+	Metrics *metrics.Set
 	// Dial, if set, opens the connections to peers and to the platform.
 	Dial relay.DialFunc
 	// Used, if set, is told of each version that callers are served by.
@@ -93,7 +95,7 @@
 // New starts a node. It returns once its addresses are listened at.
 func New(cfg settings.Settings, d Deps) (*Node, error) {
 	n := &Node{
-		cfg: cfg, log: d.Log, metrics: metrics.NewSet(),
+		cfg: cfg, log: d.Log, metrics: cmp.Or(d.Metrics, metrics.NewSet()),
 		listeners: make(map[string]net.Listener),
 		prints:    make(map[uint64]int),
 		startedAt: time.Now(),
--- a/briarrockd/node/pages_test.go
+++ b/briarrockd/node/pages_test.go
@@ -31,14 +31,16 @@
 	page, err := os.ReadFile("../../docs/METRICS.md")
 	c.Assert(err, qt.IsNil)
 	var code strings.Builder
-	c.Assert(filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
-		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+	for _, module := range []string{"..", "../../platform"} {
+		c.Assert(filepath.WalkDir(module, func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			b, err := os.ReadFile(path)
+			code.Write(b)
 			return err
-		}
-		b, err := os.ReadFile(path)
-		code.Write(b)
-		return err
-	}), qt.IsNil)
+		}), qt.IsNil)
+	}
 	c.Check(names("(?m)^\\| `(briarrock_[a-z_]+)`", string(page)), qt.DeepEquals,
 		names("[\"`](briarrock_[a-z_]+)", code.String()))
 }
--- a/briarrockd/node/platform.go
+++ b/briarrockd/node/platform.go
@@ -124,6 +124,4 @@
 func (f *Follow) Failed() { f.tell(peer.LookFailed{}) }
 
 // Looked says that a look found nothing newer than what was told.
-func (f *Follow) Looked(seen uint64, at time.Time) {
-	f.tell(peer.Looked{Seen: seen, At: at})
-}
+func (f *Follow) Looked(l peer.Looked) { f.tell(l) }
--- a/briarrockd/peer/duty.go
+++ b/briarrockd/peer/duty.go
@@ -1,44 +1,65 @@
 package peer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Who watches the platform, where the platform's adapter does the reading.
 //
-// Of a large domain only the first few members watch. A whole configuration for
-// each node would fill the links, between regions above all: 40 copies of
-// 100 KB take half a second of 60 Mbit/s, and a storm of changes brings several a
-// second. The others get versions from their peers as differences, and hear
-// from them how long ago the platform was last looked at. A node that hears
-// nothing recent looks itself, so there is no duty to hand over: the loss of all
-// watchers costs lapseAfter, well within the time in which a change must be in
-// force.
+// In a large region only its carriers watch, and of several regions only those that
+// are near the platform: calls to it then don't grow with the hosts, and a change
+// crosses between regions once, as a difference. The others get versions from their
+// peers, and freshness notices that say how long ago the platform was last polled. Any node polls once its last freshness notice expires, so the role needs no
+// handover: losing all watchers costs lapseAfter, well within the time in which a
+// change must be in force.
 const (
-	// watchers is the number of members of a domain that watch as a rule: the
-	// bridges, from which the tree starts.
-	watchers = bridges
-	// wholeDomain is the size up to which all of a domain's members watch, each
-	// for itself: so few copies cost less than the talk that saves them.
+	// wholeDomain is the size of a domain up to which all of its members watch, each
+	// for itself, if no domain of the region is larger.
 	wholeDomain = 4
 	// watchLong is how long one question waits for a change where all watch. A
 	// longer one costs fewer calls; but one whose store has fallen silent and come
 	// back meanwhile is waited for in vain until its end.
 	watchLong = 6 * time.Second
-	// watchShort is the same for the watchers of a large domain: others count on
-	// the news that there is nothing new.
-	watchShort = time.Second
-	// lapseAfter is the age of the newest look, as peers tell, from which on a
-	// node looks itself: one watchShort and the way here through the tree.
+	// watchShort is the same for the watchers of a large region: others count on
+	// their freshness notices.
+	watchShort = 2 * time.Second
+	// announceEvery is how often a node that watches says so while its poll waits
+	// for a change: others notice within lapseAfter that it has gone.
+	announceEvery = time.Second
+	// announceFor is the age of its last answered poll up to which it does. A poll
+	// that is overdue has most likely met a silent connection.
+	announceFor = watchShort + time.Second
+	// lapseAfter is the age of the newest freshness notice from which on a node
+	// polls itself: one announceEvery and the way here through the tree.
 	// lapseSpread is added by the place in the domain, so that the first to
-	// look spare the others.
+	// poll spare the others.
 	lapseAfter  = 1500 * time.Millisecond
 	lapseSpread = 600 * time.Millisecond
 	// lapseKeep is how long a node that has begun to look goes on, so that two
 	// of them don't make each other stop and lapse again in turns.
 	lapseKeep = 5 * time.Second
+	// spareEvery is the mean time between the polls of all spare nodes
+	// together while they fail: an outage of the platform must not multiply them by
+	// the hosts, but one that rejects most hosts must still find those it serves.
+	spareEvery = 100 * time.Millisecond
 	// peersFirst is the time that a starting node gives its peers to send it the
 	// version in use, before it reads the whole from the platform. One of a domain
 	// where all watch doesn't wait.
 	peersFirst = 500 * time.Millisecond
+	// carriersFirst is the same for a carrier, which may just have been linked with
+	// others that have started with it. readSpread is added by the place in the domain
+	// for each of the others that is linked.
+	carriersFirst = 100 * time.Millisecond
+	readSpread    = 100 * time.Millisecond
+	// bootFirst is the same where the whole mesh starts for the first time. The
+	// carriers read the version then, and callers come only after that.
+	bootFirst = 3 * time.Second
+	// nearer is how many times nearer the platform another region must be for this
+	// one to leave the polling to it, delayPart the inverse weight of a longer delay
+	// than the usual one.
+	nearer    = 3
+	delayPart = 10
 	// maxLookers bounds the hosts whose looks are told apart.
 	maxLookers = 256
 	// fetchEvery is the least time between two versions that are fetched from
@@ -57,13 +78,23 @@
 	// that of this node's own newest.
 	heardAt time.Time
 	ownAt   time.Time
-	// looks counts this node's own looks.
-	looks uint64
+	// notices counts this node's own freshness notices, announcedAt is the time of
+	// the newest.
+	notices     uint64
+	announcedAt time.Time
+	// triedAt is when a spare node last began to poll, or this node's
+	// own poll last failed, and pause how long after that this node may.
+	triedAt time.Time
+	pause   time.Duration
+	// delay is this node's way to the platform and back, as a rule; 0 if unknown.
+	delay time.Duration
+	// nearAt is when a notice last came from a region that is much nearer to it.
+	nearAt time.Time
 	// lookers is the newest look of each host that was heard of.
 	lookers map[string]lookName
 }
 
-// lookName tells the looks of one host apart; later ones are greater.
+// lookName tells the notices of one host apart; later ones are greater.
 type lookName struct{ incarnation, look uint64 }
 
 func (a lookName) after(b lookName) bool {
@@ -73,9 +104,24 @@
 	return a.look > b.look
 }
 
-// allWatch tells whether each node of this domain watches for itself.
+// allWatch tells whether each node watches for itself: no domain of the region is
+// large.
 func (h *Heart) allWatch() bool {
-	return len(h.table.members(h.self.Domain)) <= wholeDomain
+	for _, d := range h.table.domains {
+		if d.region == h.self.Region && d.count > wholeDomain {
+			return false
+		}
+	}
+	return true
+}
+
+// watches tells whether this node is one of those that watch for a large region,
+// while no region nearer to the platform does.
+func (h *Heart) watches() bool {
+	if h.now.Sub(h.watch.duty.nearAt) <= lapseAfter {
+		return false
+	}
+	return slices.ContainsFunc(h.carriers(h.self.Region), func(r *record) bool { return r.Host == h.self.Host })
 }
 
 // tickDuty decides whether this node is to look at the platform, and how.
@@ -84,28 +130,31 @@
 		return
 	}
 	w := h.dutyNow()
+	h.announce()
 	d := &h.watch.duty
 	if d.told && w.On == d.now.On && w.Wait == d.now.Wait && w.Spare == d.now.Spare {
 		return
 	}
+	if w.On && w.Spare && !(d.now.On && d.now.Spare) {
+		h.tellTry()
+	}
 	d.now, d.told = w, true
 	h.do(w)
 }
 
 func (h *Heart) dutyNow() Watch {
 	w := Watch{On: true, Seen: h.watch.seen}
-	i := h.position()
 	switch {
 	case !h.version.ready:
-		w.On = h.version.number > 0 || h.stored.small || h.now.Sub(h.watch.startedAt) >= peersFirst
+		w.On = h.readsAtStart()
 	case h.allWatch():
 		w.Wait = watchLong
-	case i >= 0 && i < watchers:
+	case h.watches():
 		w.Wait = watchShort
 	default:
 		w.Spare = true
-		w.On = h.lapsed(i)
-		if h.now.Sub(h.watch.duty.ownAt) < lapseAfter {
+		w.On = h.lapsed()
+		if h.now.Sub(h.watch.duty.ownAt) <= announceFor {
 			// The first look is answered at once, and spares the others theirs.
 			w.Wait = watchShort
 		}
@@ -113,44 +162,121 @@
 	return w
 }
 
-// lapsed tells whether nobody else seems to look at the platform.
-func (h *Heart) lapsed(position int) bool {
+// readsAtStart tells whether a node that is not ready yet polls the platform itself.
+// A restarted node does so as soon as it has a version to confirm. Where nobody that it
+// is linked to has one either, the carriers read it for all: whole copies for each node
+// would fill the link between regions for seconds.
+func (h *Heart) readsAtStart() bool {
+	since := h.now.Sub(h.watch.startedAt)
+	carrier := len(h.links) > 0 && h.watches()
+	switch {
+	case h.cfg.Bootstrap:
+		return since >= bootFirst || (since >= peersFirst && carrier)
+	case h.version.number > 0 || h.stored.small:
+		return true
+	case carrier:
+		return since >= carriersFirst
+	case len(h.links) == 0:
+		return since >= peersFirst
+	default:
+		return since >= peersFirst+readSpread*time.Duration(max(h.position(), 0))
+	}
+}
+
+// lapsed tells whether nobody else seems to poll the platform. Where others have just
+// tried, this node waits for its turn: a poll that succeeds makes its own needless,
+// and one that fails most likely fails for all.
+func (h *Heart) lapsed() bool {
 	d := &h.watch.duty
-	place := time.Duration(max(position, 0) - watchers)
-	spread := lapseSpread * max(place, 0) / time.Duration(len(h.table.members(h.self.Domain))+1)
+	n := len(h.table.members(h.self.Domain))
+	spread := lapseSpread * time.Duration(max(h.position(), 0)) / time.Duration(n+1)
 	// A version that has come says as well that somebody looks.
-	if h.now.Sub(later(d.heardAt, h.version.stagedAt)) > lapseAfter+spread {
+	silent := h.now.Sub(later(d.heardAt, h.version.stagedAt)) > lapseAfter+spread
+	if silent && h.now.Sub(d.triedAt) > d.pause {
 		d.until = h.now.Add(lapseKeep)
 	}
 	return h.now.Before(d.until)
 }
 
+// lookFailed notes that this node's own poll had no answer. A spare node leaves the
+// next try to the others.
+func (h *Heart) lookFailed() {
+	h.watch.fails++
+	d := &h.watch.duty
+	if !d.now.Spare {
+		return
+	}
+	d.until = time.Time{}
+	h.tried()
+	h.tickDuty()
+}
+
+// tried draws the pause after a poll by a spare node, here or elsewhere.
+func (h *Heart) tried() {
+	d := &h.watch.duty
+	d.triedAt, d.pause = h.now, h.jitter(spareEvery*time.Duration(h.Members()))
+}
+
 // looked takes this node's own look at the platform, which found nothing newer
 // than what it has told.
 func (h *Heart) looked(m Looked) {
 	h.watch.seen = max(h.watch.seen, m.Seen)
+	h.watch.duty.measured(m.Delay)
 	h.headIs(h.version.number, m.At)
 	h.tellLook(m.At)
 }
 
-// tellLook tells the domain of this node's own look.
+// measured takes the delay of one poll. The least of late counts: what it is above
+// that was spent in queues.
+func (d *duty) measured(delay time.Duration) {
+	switch {
+	case delay <= 0:
+	case d.delay == 0 || delay < d.delay:
+		d.delay = delay
+	default:
+		d.delay += (delay - d.delay) / delayPart
+	}
+}
+
+// tellLook tells the other nodes of this node's own look.
 func (h *Heart) tellLook(at time.Time) {
 	if !h.cfg.HeadFed || h.allWatch() {
 		return
 	}
+	h.watch.duty.announcedAt = h.now
+	f := h.ownNotice()
+	f.Version, f.Seen, f.Age = h.version.number, h.watch.seen, age(h.now, at)
+	f.Delay = uint64(h.watch.duty.delay.Milliseconds())
+	h.passFresh(0, f)
+}
+
+// announce tells the other nodes that this node still watches, while its poll waits.
+func (h *Heart) announce() {
 	d := &h.watch.duty
-	d.looks++
-	h.passFresh(0, Fresh{
-		Version: h.version.number, Seen: h.watch.seen, Age: age(h.now, at),
-		Host: h.self.Host, Incarnation: h.self.Incarnation, Look: d.looks,
-	})
+	waits := d.now.On && d.now.Wait > 0 && h.watch.fails == 0
+	if waits && h.now.Sub(d.announcedAt) >= announceEvery && h.now.Sub(d.ownAt) <= announceFor {
+		h.tellLook(d.ownAt)
+	}
+}
+
+// tellTry tells the other nodes that this node begins to poll since nobody else seems to.
+func (h *Heart) tellTry() {
+	f := h.ownNotice()
+	f.Try = true
+	h.passFresh(0, f)
+}
+
+func (h *Heart) ownNotice() Fresh {
+	d := &h.watch.duty
+	d.notices++
+	return Fresh{Host: h.self.Host, Incarnation: h.self.Incarnation, Look: d.notices, Region: h.self.Region}
 }
 
-// fresh takes a peer's word of a look at the platform, and passes it on.
+// fresh takes a peer's notice of a look at the platform, and passes it on.
 //
 // Each look counts once. Its age doesn't grow on its way over a link; if a look
 // could come back to a node by another way it would seem younger each time, and
-// over slow links a domain would go on telling itself that somebody looks long
+// over slow links a region would go on telling itself that somebody looks long
 // after nobody did.
 func (h *Heart) fresh(l *link, f Fresh) {
 	d := &h.watch.duty
@@ -163,13 +289,20 @@
 		d.lookers = make(map[string]lookName)
 	}
 	d.lookers[f.Host] = name
-	h.heardFresh(look{version: f.Version, seen: f.Seen, at: h.ago(f.Age), told: true})
+	if f.Region != h.self.Region && f.Delay > 0 && nearer*time.Duration(f.Delay)*time.Millisecond < d.delay {
+		d.nearAt = h.now
+	}
+	if f.Try {
+		h.tried()
+	} else {
+		h.heardFresh(look{version: f.Version, seen: f.Seen, at: h.ago(f.Age), told: h.now})
+	}
 	h.passFresh(l.id, f)
 }
 
 func (h *Heart) passFresh(from LinkID, f Fresh) {
 	for _, l := range h.sortedLinks() {
-		if l.id != from && l.domain == h.self.Domain {
+		if l.id != from && !l.lazy {
 			h.send(l, f)
 		}
 	}
--- a/briarrockd/peer/duty_test.go
+++ b/briarrockd/peer/duty_test.go
@@ -24,7 +24,7 @@
 	order := probe.members("erie-a")
 	self := order[n-1].Host
 	h := New(Config{Self: member(self), HeadFed: true}, rand.New(rand.NewPCG(1, 1)), now)
-	for i := range watchers {
+	for i := range bridges {
 		m := member(order[i].Host)
 		h.Step(now, LinkUp{Link: LinkID(i + 1), Hello: Hello{Member: m}, Addr: m.Peer})
 	}
@@ -44,7 +44,7 @@
 		f.Look++
 		out = append(out, h.Step(now, Received{1, f})...)
 		var cmds []Cmd
-		now, cmds = ticks(h, now, watchShort)
+		now, cmds = ticks(h, now, announceEvery)
 		out = append(out, cmds...)
 	}
 	return now, out
@@ -88,7 +88,7 @@
 		w, ok = watchOf(cmds)
 		c.Assert(now.Sub(quiet) <= lapseAfter+lapseSpread, qt.IsTrue)
 	}
-	c.Check(now.Sub(quiet) >= lapseAfter-watchShort, qt.IsTrue)
+	c.Check(now.Sub(quiet) >= lapseAfter-announceEvery, qt.IsTrue)
 	c.Check(w, qt.Equals, Watch{On: true, Seen: 40, Spare: true})
 	h.Step(now, Looked{Seen: 41, At: now})
 	now, cmds = ticks(h, now, TickEvery)
@@ -142,7 +142,7 @@
 // TestDutyStart starts a node among peers that serve already.
 //
 // It takes the version from them at once, and confirms by one small look at the
-// platform that it is the newest, before it serves; without peers it reads the
+// platform, asked for in the same step, that it is the newest, before it serves; without peers it reads the
 // whole by itself, though not before they have had a moment to answer.
 func TestDutyStart(t *testing.T) {
 	c := qt.New(t)
@@ -154,8 +154,7 @@
 	next := content(c, 7, 7)
 	cmds = h.Step(now, LinkUp{Link: 1, Hello: Hello{Member: member("b"), Version: 7, Hash: next.Hash, Seen: 30, Fresh: 100}, Addr: "b:1"})
 	c.Check(fetches(cmds), qt.Equals, 1)
-	h.Step(now, Received{1, next})
-	now, cmds = ticks(h, now, TickEvery)
+	cmds = h.Step(now, Received{1, next})
 	w, _ = watchOf(cmds)
 	c.Check(w, qt.Equals, Watch{On: true, Seen: 30})
 	c.Check(h.Ready(), qt.IsFalse)
--- a/briarrockd/peer/fabric_test.go
+++ b/briarrockd/peer/fabric_test.go
@@ -27,6 +27,8 @@
 	store  fakeStore
 	// seen is told of everything that happens, by a word: faults wait for it.
 	seen func(word string, f *fake)
+	// watched is told who is to poll the platform.
+	watched func(x *fake, w Watch)
 	// broken collects violated invariants.
 	broken []string
 	// forgotten counts hosts that went back where nobody could know.
@@ -108,11 +110,12 @@
 
 func newFabric(seed uint64, places []Member, perDomain int) *fabric {
 	f := &fabric{
-		rng:    rand.New(rand.NewPCG(seed, 7)),
-		byAddr: make(map[string]*fake),
-		links:  make(map[LinkID]*wire),
-		cutOff: make(map[string]bool),
-		seen:   func(string, *fake) {},
+		rng:     rand.New(rand.NewPCG(seed, 7)),
+		byAddr:  make(map[string]*fake),
+		links:   make(map[LinkID]*wire),
+		cutOff:  make(map[string]bool),
+		seen:    func(string, *fake) {},
+		watched: func(*fake, Watch) {},
 		store: fakeStore{
 			rows:     make(map[string]platform.Row),
 			objects:  make(map[snapshot.Hash][]byte),
@@ -305,6 +308,8 @@
 		f.readObject(x, c.Hash, back)
 	case Use:
 		f.use(x, c)
+	case Watch:
+		f.watched(x, c)
 	}
 }
 
@@ -405,7 +410,7 @@
 
 func word(fr Frame) string {
 	return [...]string{
-		"", "hello", "beat", "digests", "listing", "wants", "records", "notice", "fetch", "content", "report", "summary", "hold", "known", "have",
+		"", "hello", "beat", "digests", "listing", "wants", "records", "notice", "fetch", "content", "report", "summary", "hold", "known", "have", "fresh",
 	}[fr.code()]
 }
 
--- a/briarrockd/peer/floor.go
+++ b/briarrockd/peer/floor.go
@@ -71,6 +71,9 @@
 	}
 	h.caughtUp()
 	h.becomeReady()
+	if !v.ready {
+		h.tickDuty() // callers wait for the poll that confirms the version
+	}
 	h.serve()
 	h.reportChanged()
 }
--- a/briarrockd/peer/frame.go
+++ b/briarrockd/peer/frame.go
@@ -36,6 +36,9 @@
 	// Seen is the position in the platform's record of changes up to which the
 	// sender's version is the newest; 0 if it doesn't know.
 	Seen uint64 `cbor:"9,keyasint,omitempty"`
+	// Outside is the highest version that other domains are known to remember as one
+	// that the sender's domain uses.
+	Outside uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Beat is the heartbeat of a link. It carries just enough to notice that the
@@ -47,7 +50,7 @@
 	Seen    uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Fresh floods within a domain: one look at the platform, how long ago it was,
+// Fresh floods through the mesh: one look at the platform, how long ago it was,
 // and which version was the newest then. Host, Incarnation and Look name it, so
 // that each node passes it on once.
 type Fresh struct {
@@ -57,6 +60,12 @@
 	Host        string `cbor:"4,keyasint"`
 	Incarnation uint64 `cbor:"5,keyasint"`
 	Look        uint64 `cbor:"6,keyasint"` // counts the looks of this incarnation
+	// Try is set where a node says that it begins to poll; it has no answer yet.
+	Try bool `cbor:"7,keyasint,omitempty"`
+	// Region is that of the host, and Delay the milliseconds of its way to the
+	// platform and back; 0 if it doesn't know.
+	Region string `cbor:"8,keyasint,omitempty"`
+	Delay  uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // DomainDigest is the digest of one domain's part of the table.
--- a/briarrockd/peer/message.go
+++ b/briarrockd/peer/message.go
@@ -89,6 +89,9 @@
 	Seen uint64
 	// At is the time for which that holds.
 	At time.Time
+	// Delay is the way to the platform and back; 0 where it could not be told from
+	// the wait for a change.
+	Delay time.Duration
 }
 
 // Crashed says that a request was in flight when a target of this node
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -214,7 +214,7 @@
 	case Looked:
 		h.looked(m)
 	case LookFailed:
-		h.watch.fails++
+		h.lookFailed()
 	case Crashed:
 		h.crashed(m)
 	case Leave:
@@ -312,6 +312,7 @@
 		Hash:    h.version.hash,
 		Fresh:   age(h.now, h.watch.freshAt),
 		Seen:    h.watch.seen,
+		Outside: h.version.outside,
 	}
 	if l != nil {
 		hi.Lazy = l.lazy
--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -390,6 +390,9 @@
 	h.raiseFloor(hi.Domain)
 	h.sawUse(l, hi.Version)
 	h.heardOutside(l, hi.Version)
+	if l.domain == h.self.Domain {
+		h.knownOutside(l.id, hi.Outside)
+	}
 	h.heardVersion(l, hi.Version, hi.Hash)
 	if l.host < h.self.Host {
 		h.send(l, h.ownDigests())
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -61,9 +61,9 @@
 	seen    uint64 // position in the platform's record of changes
 	at      time.Time
 	own     bool
-	// told is set for a look that was told of by itself (Fresh), and not as a
-	// part of what a peer knows.
-	told bool
+	// told is when a freshness notice of the look came; zero for one that is a part
+	// of what a peer knows.
+	told time.Time
 }
 
 // ago is the time that a peer says was so many milliseconds ago; zero for 0,
@@ -107,9 +107,7 @@
 		w.duty.ownAt = later(w.duty.ownAt, k.at)
 		return
 	}
-	if k.told {
-		w.duty.heardAt = later(w.duty.heardAt, k.at)
-	}
+	w.duty.heardAt = later(w.duty.heardAt, k.told)
 }
 
 func later(a, b time.Time) time.Time {
