caller: hold calls at a node that has just been started

Change: within 3 s of its start a node holds calls that it can't route yet, for at most 0.6 s and a quarter of the time that they have. One that waits in vain is told to come back after 0.3 s. From then on what is missing is refused at once, as before.

--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -74,6 +74,7 @@
 	until    atomic.Int64
 	inflight atomic.Int64
 	patience patience
+	starting *starting
 	counts   counts
 	calls    *metrics.Counter
 	attempts *metrics.Counter
@@ -91,6 +92,7 @@
 	}
 	p := &Proxy{
 		deps:     d,
+		starting: newStarting(),
 		counts:   counts{set: d.Metrics},
 		calls:    d.Metrics.GetOrCreateCounter("briarrock_calls_total"),
 		attempts: d.Metrics.GetOrCreateCounter("briarrock_attempts_total"),
@@ -103,7 +105,12 @@
 }
 
 // Use swaps in a table. Calls that are under way keep theirs.
-func (p *Proxy) Use(t *Table) { p.table.Store(t) }
+func (p *Proxy) Use(t *Table) {
+	p.table.Store(t)
+	if !p.starting.over() {
+		p.starting.tell()
+	}
+}
 
 // Table returns the table in use; nil before the first.
 func (p *Proxy) Table() *Table { return p.table.Load() }
@@ -163,6 +170,7 @@
 	relay.Duplex(w, r)
 	began := time.Now()
 	defer p.took.UpdateDuration(began)
+	p.holdAtStart(r)
 	c, no := p.admit(r, began)
 	if no.kind != kind.None {
 		p.fail(w, c, no.kind, kind.RanNo, no.after)
@@ -175,6 +183,21 @@
 	p.send(w, c)
 }
 
+// holdAtStart holds a call at a node that has just been started until it can be served.
+func (p *Proxy) holdAtStart(r *http.Request) {
+	if p.starting.over() || p.leaving.Load() {
+		return
+	}
+	left := holdShare * holdFor
+	if ms, err := strconv.ParseInt(r.Header.Get(target.HeaderDeadline), 10, 64); err == nil {
+		left = time.Duration(ms) * time.Millisecond
+	}
+	p.starting.hold(r.Context(), left, func() bool {
+		t := p.table.Load()
+		return t != nil && t.canServe(r)
+	})
+}
+
 // admit finds the route of a request and checks all that can be checked
 // before anything is sent.
 func (p *Proxy) admit(r *http.Request, now time.Time) (*call, refusal) {
@@ -183,7 +206,7 @@
 		return c, refusal{kind: kind.Drain}
 	}
 	if c.table == nil {
-		return c, refusal{kind: kind.Config}
+		return c, refusal{kind: kind.Config, after: startAgain}
 	}
 	if k := c.find(); k != kind.None {
 		return c, refusal{kind: k}
--- /dev/null
+++ b/briarrockd/caller/start_test.go
@@ -0,0 +1,52 @@
+package caller
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"briarrock.example/mesh/kind"
+)
+
+// ask sends a request to a Proxy and returns how long it took, and the kind of failure.
+func ask(p *Proxy) (time.Duration, kind.Kind) {
+	r := httptest.NewRequest(http.MethodGet, "http://orderdesk/", nil)
+	w := httptest.NewRecorder()
+	began := time.Now()
+	p.ServeHTTP(w, r)
+	return time.Since(began), kind.Kind(w.Header().Get(kind.HeaderKind))
+}
+
+// TestHoldAtStart guards against a herd of restarted nodes that refuse all of their
+// callers in the moment before they have a configuration and know the targets.
+func TestHoldAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := New(Deps{Chooser: NewChooser("a", "b", 1), Budget: NewBudget(), Caller: func(http.Header) (string, bool) { return "", true },
+			Suspicion: func(uint64) int { return 0 }, Transport: &script{steps: []step{{status: http.StatusOK}}}, Stall: time.Second})
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			p.Use(table(nil))
+			time.Sleep(100 * time.Millisecond)
+			p.Use(table(members()))
+		}()
+		took, k := ask(p)
+		c.Check(took, qt.Equals, 300*time.Millisecond)
+		c.Check(k, qt.Equals, kind.None)
+
+		p = New(Deps{Chooser: NewChooser("a", "b", 1), Budget: NewBudget()})
+		took, k = ask(p)
+		c.Check(took, qt.Equals, holdFor)
+		c.Check(k, qt.Equals, kind.Config)
+
+		// A node that has been up for a while refuses at once.
+		time.Sleep(startFor)
+		took, k = ask(p)
+		c.Check(took, qt.Equals, time.Duration(0))
+		c.Check(k, qt.Equals, kind.Config)
+	})
+}
--- a/briarrockd/caller/table.go
+++ b/briarrockd/caller/table.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -153,6 +154,22 @@
 	return nil, known
 }
 
+// canServe tells whether a request has targets, or would be refused whatever targets
+// there are.
+func (t *Table) canServe(r *http.Request) bool {
+	e, known := t.entry(hostName(r.Host), r.URL.Path)
+	if e == nil {
+		svc := t.services[serviceName(r.Host)]
+		return known || svc == nil || len(t.sets[svc.Name]) > 0
+	}
+	for _, svc := range e.services {
+		if len(t.sets[svc.Name]) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // golden is the golden ratio's fraction in 64 bits. Its multiples fall evenly
 // into the range, so that each part gets its share within a few requests and
 // not only on the average of many.
