peer: lead newcomers to their own domain instead of sending them the whole table

Cause: at the start of the whole mesh, and after a herd kill, nearly all that crossed between regions was control: each node dials the few hosts of its settings, most of them in other domains, and was sent every record there is.

Change: a hello says how many members its sender knows. One that knows hardly anybody gets the members of its domain and the bridges of its region, if there are any, and the rest from these. A link that lasts for 5 s is like any other again.

--- a/briarrockd/peer/duty.go
+++ b/briarrockd/peer/duty.go
@@ -302,7 +302,7 @@
 
 func (h *Heart) passFresh(from LinkID, f Fresh) {
 	for _, l := range h.sortedLinks() {
-		if l.id != from && !l.lazy {
+		if l.id != from && !l.lazy && !h.restricted(l) {
 			h.send(l, f)
 		}
 	}
--- a/briarrockd/peer/frame.go
+++ b/briarrockd/peer/frame.go
@@ -39,6 +39,8 @@
 	// Outside is the highest version that other domains are known to remember as one
 	// that the sender's domain uses.
 	Outside uint64 `cbor:"10,keyasint,omitempty"`
+	// Members is how many live members the sender knows, itself included.
+	Members int `cbor:"11,keyasint,omitempty"`
 }
 
 // Beat is the heartbeat of a link. It carries just enough to notice that the
--- a/briarrockd/peer/gossip.go
+++ b/briarrockd/peer/gossip.go
@@ -124,7 +124,7 @@
 	}
 	sort.Strings(hosts)
 	for _, l := range h.sortedLinks() {
-		if !l.lazy {
+		if !l.lazy && !h.restricted(l) {
 			h.sendRecords(l, hosts, true)
 		}
 	}
@@ -164,7 +164,7 @@
 		return
 	}
 	l.differs++
-	if l.differs >= repairAfter && l.host < h.self.Host {
+	if l.differs >= repairAfter && l.host < h.self.Host && !h.restricted(l) {
 		l.differs = 0
 		h.send(l, h.ownDigests())
 	}
@@ -183,6 +183,9 @@
 // nothing is sent whole or asked for whole; of another that differs, the
 // listing of ranks goes first, since it is much smaller than the records.
 func (h *Heart) digests(l *link, f Digests) {
+	if h.restricted(l) {
+		return
+	}
 	theirs := make(map[string]DomainDigest, len(f.Domains))
 	for _, d := range f.Domains {
 		theirs[d.Name] = d
--- /dev/null
+++ b/briarrockd/peer/introduce.go
@@ -0,0 +1,52 @@
+package peer
+
+import "time"
+
+// A node that starts finds the others by a few addresses, mostly of hosts in other
+// domains. It is led to members of its own domain and region, and gets everything else
+// from these. If each of a herd of newcomers were sent the whole table by the few nodes
+// of the settings, that would grow with the square of the hosts, much of it over the
+// paid link.
+const (
+	// newcomerKnows is how many members a newcomer may know already.
+	newcomerKnows = 8
+	// introduceFor is how long a link to a newcomer stays restricted. One that has found
+	// nobody by then gets what any other peer does.
+	introduceFor = 5 * time.Second
+)
+
+// introduces tells whether a link that has just come up need only lead its peer to
+// others of its region: it knows hardly anybody, and this node knows some of them.
+func (h *Heart) introduces(l *link, hi Hello) bool {
+	if l.outbound || l.domain == h.self.Domain || hi.Members == 0 || hi.Members > newcomerKnows {
+		return false
+	}
+	for _, name := range h.table.names() {
+		d := h.table.domains[name]
+		if d.region != l.region || name == h.self.Domain {
+			continue
+		}
+		if d.count > 1 || (d.count == 1 && name != l.domain) {
+			return true
+		}
+	}
+	return false
+}
+
+// restricted tells whether a link still only leads a newcomer to its own domain.
+func (h *Heart) restricted(l *link) bool { return h.now.Before(l.introduces) }
+
+// introduce sends a newcomer the members of its domain and the bridges of its region.
+func (h *Heart) introduce(l *link) {
+	for _, name := range h.table.names() {
+		hosts := h.hostsOf(name)
+		switch {
+		case name == l.domain:
+		case h.table.domains[name].region == l.region:
+			hosts = hosts[:min(len(hosts), bridges)]
+		default:
+			continue
+		}
+		h.sendRecords(l, hosts, false)
+	}
+}
--- /dev/null
+++ b/briarrockd/peer/introduce_test.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// sentRecords are the hosts whose records were sent over a link.
+func sentRecords(cmds []Cmd, id LinkID) map[string]bool {
+	out := make(map[string]bool)
+	for _, x := range cmds {
+		s, ok := x.(Send)
+		if !ok || s.Link != id {
+			continue
+		}
+		if f, ok := s.Frame.(Records); ok {
+			for _, m := range f.Members {
+				out[m.Host] = true
+			}
+		}
+	}
+	return out
+}
+
+// TestIntroduce guards against a herd of newcomers that are each sent the whole table
+// by the few nodes of the settings, and against one that is never told of the rest.
+func TestIntroduce(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	place := func(domain, region string, i int) Member {
+		name := fmt.Sprintf("%s-%02d", domain, i)
+		return Member{Host: name, Domain: domain, Region: region, Peer: name + ":1", Call: name + ":2", Incarnation: 1}
+	}
+	h := New(Config{Self: place("erie-a", "erie", 0), HeadFed: true}, rand.New(rand.NewPCG(1, 1)), now)
+	for _, p := range [][2]string{{"erie-a", "erie"}, {"erie-b", "erie"}, {"superior-a", "superior"}, {"superior-b", "superior"}} {
+		for i := range 20 {
+			h.learn(0, place(p[0], p[1], i))
+		}
+	}
+	now, _ = ticks(h, now, TickEvery)
+
+	fresh := place("superior-b", "superior", 30)
+	cmds := h.Step(now, LinkUp{Link: 1, Hello: Hello{Member: fresh, Members: 1}})
+	sent := sentRecords(cmds, 1)
+	c.Check(len(sent), qt.Equals, 21+bridges) // its domain with itself, and the bridges of the other
+	c.Check(sent["superior-b-07"], qt.IsTrue)
+	c.Check(sent["erie-b-07"], qt.IsFalse)
+
+	// What changes elsewhere is not its concern.
+	h.learn(0, place("erie-b", "erie", 40))
+	now, cmds = ticks(h, now, TickEvery)
+	c.Check(sentRecords(cmds, 1), qt.HasLen, 0)
+
+	// A link that lasts is like any other: the tables are compared.
+	now, _ = ticks(h, now, introduceFor-time.Second)
+	h.Step(now, Received{1, Beat{Root: 1}})
+	now, _ = ticks(h, now, 2*time.Second)
+	h.Step(now, Received{1, Digests{}})
+	cmds = h.Step(now, Received{1, Digests{}})
+	c.Check(sentRecords(cmds, 1)["erie-b-40"], qt.IsTrue)
+
+	// One that knows many is not a newcomer, though it has just been linked.
+	cmds = h.Step(now, LinkUp{Link: 2, Hello: Hello{Member: place("superior-b", "superior", 31), Members: 40}})
+	c.Check(sentRecords(cmds, 2), qt.HasLen, 0)
+	cmds = h.Step(now, Received{2, Digests{}})
+	c.Check(len(sentRecords(cmds, 2)) > 80, qt.IsTrue)
+}
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -148,6 +148,8 @@
 	toldAt  time.Time
 	// owed is when a lazy link is to be told of a version, if still needed.
 	owed time.Time
+	// introduces is until when the link only leads a newcomer to its own domain.
+	introduces time.Time
 	// unwanted is since when the topology has had no use for the link.
 	unwanted time.Time
 }
@@ -313,6 +315,7 @@
 		Fresh:   age(h.now, h.watch.freshAt),
 		Seen:    h.watch.seen,
 		Outside: h.version.outside,
+		Members: h.Members(),
 	}
 	if l != nil {
 		hi.Lazy = l.lazy
--- a/briarrockd/peer/report.go
+++ b/briarrockd/peer/report.go
@@ -201,7 +201,7 @@
 // the first two of the own one, who may have to take over.
 func (h *Heart) relaySummary(from LinkID, s Summary) {
 	for _, l := range h.sortedLinks() {
-		if l.id == from || l.lazy || l.domain == s.Domain || !h.carries(l) {
+		if l.id == from || l.lazy || l.domain == s.Domain || !h.carries(l) || h.restricted(l) {
 			continue
 		}
 		h.send(l, s)
--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -394,6 +394,11 @@
 		h.knownOutside(l.id, hi.Outside)
 	}
 	h.heardVersion(l, hi.Version, hi.Hash)
+	if h.introduces(l, hi) {
+		l.introduces = h.now.Add(introduceFor)
+		h.introduce(l)
+		return
+	}
 	if l.host < h.self.Host {
 		h.send(l, h.ownDigests())
 	}
