caller: look up what is known of upstreams once for a choice

Cause: a choice went over all upstreams of a service five times, with a string built and looked up for each: with 128 of them some 0.3 ms of a host's fraction of a core.

Change: states are kept by service and host, and resolved once into a view that the choice works on. What is chosen stays the same. TestFleet drives the real Choosers of 300 nodes and the real Gates of 128 targets of unequal speed against a choice that knows everything.

--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -79,7 +79,9 @@
 	domain, region string
 	mu             sync.Mutex
 	rng            *rand.Rand
-	states         map[string]*state
+	// states are by service and host, count is how many there are.
+	states map[string]map[string]*state
+	count  int
 }
 
 // NewChooser returns a Chooser for a node in the given place.
@@ -87,20 +89,38 @@
 	return &Chooser{
 		domain: domain, region: region,
 		rng:    rand.New(rand.NewPCG(seed, 1)),
-		states: make(map[string]*state),
+		states: make(map[string]map[string]*state),
 	}
 }
 
+// view is what is known of a service's upstreams at one time. States are looked up once
+// for a choice, since it goes over all of them several times.
+type view struct {
+	now     time.Time
+	service string
+	set     []upstream
+	states  []*state // nil for an upstream that nothing is known of
+}
+
+func (c *Chooser) view(now time.Time, service string, set []upstream) *view {
+	v := &view{now: now, service: service, set: set, states: make([]*state, len(set))}
+	known := c.states[service]
+	for i := range set {
+		v.states[i] = known[set[i].host]
+	}
+	return v
+}
+
 // pick chooses an upstream that is not in tried and counts it as in flight.
 // It returns false when the set has none that may be used.
 func (c *Chooser) pick(now time.Time, service string, set []upstream, tried []string, priority snapshot.Priority) (upstream, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	best, found := c.best(now, service, set, tried, priority)
+	best, found := c.best(c.view(now, service, set), tried, priority)
 	if !found {
 		return upstream{}, false
 	}
-	s := c.state(key(service, best.host))
+	s := c.state(service, best.host)
 	if s.inflight == 0 {
 		s.quietAt = now
 	}
@@ -125,22 +145,22 @@
 	}
 }
 
-func (c *Chooser) best(now time.Time, service string, set []upstream, tried []string, priority snapshot.Priority) (upstream, bool) {
-	usable := c.usable(now, service, set, tried, priority)
-	unit := c.unit(service, set, usable)
+func (c *Chooser) best(v *view, tried []string, priority snapshot.Priority) (upstream, bool) {
+	usable := v.usable(tried, priority)
+	unit := v.unit(usable)
 	draws := calmDraws
-	if c.anyPressed(now, service, set) {
+	if v.anyPressed() {
 		draws = pressedDraws
 	}
 	var tiers [tierCount][]int
 	for _, i := range usable {
-		t := c.tier(&set[i])
+		t := c.tier(&v.set[i])
 		tiers[t] = append(tiers[t], i)
 	}
 	best, found, least := 0, false, 0.0
 	for t, list := range tiers {
 		for _, i := range c.draw(list, draws) {
-			cost := c.cost(now, service, &set[i], unit) + [tierCount]float64{0, farDomain, farRegion}[t]
+			cost := v.cost(i, unit) + [tierCount]float64{0, farDomain, farRegion}[t]
 			if !found || cost < least {
 				best, found, least = i, true, cost
 			}
@@ -149,15 +169,15 @@
 	if !found {
 		return upstream{}, false
 	}
-	return set[best], true
+	return v.set[best], true
 }
 
 // unit is the time that a request takes as a rule at the service: the median
-// of what its usable upstreams say, 0 if none has.
-func (c *Chooser) unit(service string, set []upstream, usable []int) time.Duration {
-	var known []time.Duration
-	for _, i := range usable {
-		if s := c.states[key(service, set[i].host)]; s != nil && s.usual > 0 {
+// of what some of its upstreams say, 0 if none has.
+func (v *view) unit(list []int) time.Duration {
+	known := make([]time.Duration, 0, len(list))
+	for _, i := range list {
+		if s := v.states[i]; s != nil && s.usual > 0 {
 			known = append(known, s.usual)
 		}
 	}
@@ -184,18 +204,17 @@
 // usable lists those that were not tried and are not ejected. If ejection
 // would leave less than its share of the set, it is not heeded: misleading
 // failures must not empty a set.
-func (c *Chooser) usable(now time.Time, service string, set []upstream, tried []string, priority snapshot.Priority) []int {
-	var sound, rest []int
-	for i := range set {
-		if slices.Contains(tried, set[i].host) {
+func (v *view) usable(tried []string, priority snapshot.Priority) []int {
+	sound, rest := make([]int, 0, len(v.set)), make([]int, 0, len(v.set))
+	for i, s := range v.states {
+		if slices.Contains(tried, v.set[i].host) {
 			continue
 		}
-		s := c.states[key(service, set[i].host)]
-		if s != nil && (s.leaves(now, &set[i]) || s.fullNow(now, priority)) {
+		if s != nil && (s.leaves(v.now, &v.set[i]) || s.fullNow(v.now, priority)) {
 			continue
 		}
 		rest = append(rest, i)
-		if s == nil || !s.until.After(now) {
+		if s == nil || !s.until.After(v.now) {
 			sound = append(sound, i)
 		}
 	}
@@ -207,50 +226,58 @@
 
 // cost is what a request at an upstream is expected to cost, its distance
 // aside, in units of the service's usual time.
-func (c *Chooser) cost(now time.Time, service string, u *upstream, unit time.Duration) float64 {
-	cost := 0.0
-	s := c.states[key(service, u.host)]
+func (v *view) cost(i int, unit time.Duration) float64 {
+	s := v.states[i]
 	if s == nil {
-		return cost
+		return 0
 	}
 	pace := 1.0
 	if unit > 0 && s.usual > 0 {
 		pace = float64(s.usual) / float64(unit)
 	}
-	load := s.expected(now, u.slots)
-	wait := loadFlat * load
-	if load > loadKnee {
-		wait += loadSteep * (load - loadKnee)
-	}
-	cost += pace*(1+wait) - 1
-	poor := s.poorNow(now)
+	cost := pace*(1+waitCost(s.expected(v.now, v.set[i].slots))) - 1
+	poor := s.poorNow(v.now)
 	cost += failCost * poor * poor
-	if s.quiet(now) {
+	if s.quiet(v.now) {
 		cost += quietCost
 	}
 	return cost
 }
 
-func key(service, host string) string { return service + "\x00" + host }
+// waitCost is what the load of a target costs.
+func waitCost(load float64) float64 {
+	return loadFlat*load + loadSteep*max(0, load-loadKnee)
+}
 
-func (c *Chooser) state(k string) *state {
-	s := c.states[k]
-	if s != nil {
+func (c *Chooser) state(service, host string) *state {
+	known := c.states[service]
+	if s := known[host]; s != nil {
 		return s
 	}
-	if len(c.states) >= maxStates {
+	if c.count >= maxStates {
 		c.forget()
 	}
-	s = new(state)
-	c.states[k] = s
+	if known = c.states[service]; known == nil {
+		known = make(map[string]*state)
+		c.states[service] = known
+	}
+	s := new(state)
+	known[host] = s
+	c.count++
 	return s
 }
 
 // forget drops states that nothing is in flight to.
 func (c *Chooser) forget() {
-	for k, s := range c.states {
-		if s.inflight == 0 {
-			delete(c.states, k)
+	for service, known := range c.states {
+		for host, s := range known {
+			if s.inflight == 0 {
+				delete(known, host)
+				c.count--
+			}
+		}
+		if len(known) == 0 {
+			delete(c.states, service)
 		}
 	}
 }
@@ -259,7 +286,7 @@
 func (c *Chooser) done(now time.Time, service, host string, f Feedback) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.state(key(service, host))
+	s := c.state(service, host)
 	s.inflight = max(0, s.inflight-1)
 	s.told(now, f)
 	if f.Leaving {
@@ -296,26 +323,22 @@
 func (c *Chooser) anyFull(now time.Time, service string, set []upstream, priority snapshot.Priority) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.any(service, set, func(s *state) bool { return s.fullNow(now, priority) })
+	return c.view(now, service, set).any(func(s *state) bool { return s.fullNow(now, priority) })
 }
 
 // pressed tells whether an upstream of a set had no room of late.
 func (c *Chooser) pressed(now time.Time, service string, set []upstream) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.anyPressed(now, service, set)
+	return c.view(now, service, set).anyPressed()
 }
 
-// anyPressed is pressed for who holds the lock.
-func (c *Chooser) anyPressed(now time.Time, service string, set []upstream) bool {
-	return c.any(service, set, func(s *state) bool { return now.Sub(s.fullAt) < pressedFor })
+func (v *view) anyPressed() bool {
+	return v.any(func(s *state) bool { return v.now.Sub(s.fullAt) < pressedFor })
 }
 
-func (c *Chooser) any(service string, set []upstream, is func(*state) bool) bool {
-	return slices.ContainsFunc(set, func(u upstream) bool {
-		s := c.states[key(service, u.host)]
-		return s != nil && is(s)
-	})
+func (v *view) any(is func(*state) bool) bool {
+	return slices.ContainsFunc(v.states, func(s *state) bool { return s != nil && is(s) })
 }
 
 // Ejected returns how many upstreams are ejected now.
@@ -323,9 +346,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
-	for _, s := range c.states {
-		if s.until.After(now) {
-			n++
+	for _, known := range c.states {
+		for _, s := range known {
+			if s.until.After(now) {
+				n++
+			}
 		}
 	}
 	return n
