--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -22,7 +22,7 @@
 
 const slopeDomains = 16
 
-// slopes measures one Heart and what the rest of its node keeps, at sizes that
+// slopes measures one Core and what the rest of its node keeps, at sizes that
 // don't fit on one machine as whole nodes.
 func slopes(options) (*table, error) {
 	t := &table{
@@ -53,9 +53,9 @@
 	}
 }
 
-// node is a Heart with what its node keeps beside it.
+// node is a Core with what its node keeps beside it.
 type slopeNode struct {
-	heart   *peer.Heart
+	heart   *peer.Core
 	now     time.Time
 	members []peer.Member
 	table   *caller.Table
--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -5,7 +5,7 @@
 //	…
 //	n.Stop(ctx) // graceful: nothing in flight is cut off
 //
-// The parts don't know each other. What the Heart in package peer decides
+// The parts don't know each other. What the Core in package peer decides
 // comes here and is passed on: a version or a change of members becomes one
 // new table for the callers' side.
 package node
@@ -244,11 +244,11 @@
 // shareClaims gives the claims their part of what the platform can do.
 func (n *Node) shareClaims() {
 	committers := 1
-	n.peers.Ask(func(h *peer.Heart) { _, committers = h.Committers() })
+	n.peers.Ask(func(h *peer.Core) { _, committers = h.Committers() })
 	n.claims.Share(committers)
 }
 
-// tell passes a message to the Heart; before there is one, nothing can happen.
+// tell passes a message to the Core; before there is one, nothing can happen.
 func (n *Node) tell(m peer.Msg) {
 	if n.peers != nil {
 		n.peers.Tell(m)
@@ -270,7 +270,7 @@
 	}
 }
 
-// use takes a version from the Heart.
+// use takes a version from the Core.
 func (n *Node) use(u peer.Use) {
 	n.targets.Configure(u.Snapshot)
 	n.mu.Lock()
@@ -282,7 +282,7 @@
 	}
 }
 
-// publish takes the members from the Heart.
+// publish takes the members from the Core.
 func (n *Node) publish(p peer.Publish) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -384,7 +384,7 @@
 		}
 		next = time.Now().Add(sweepEvery)
 		leads := false
-		n.peers.Ask(func(h *peer.Heart) { leads = h.Leads() })
+		n.peers.Ask(func(h *peer.Core) { leads = h.Leads() })
 		if leads {
 			_, _ = n.claims.Sweep(n.ctx, time.Now()) // what is left is for the next time
 		}
--- a/briarrockd/node/platform.go
+++ b/briarrockd/node/platform.go
@@ -80,7 +80,7 @@
 	return &Follow{tell: tell, log: log, changed: make(chan struct{})}
 }
 
-// set takes the Heart's decision.
+// set takes the Core's decision.
 func (f *Follow) set(w peer.Watch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/briarrockd/peer/claims.go
+++ b/briarrockd/peer/claims.go
@@ -37,7 +37,7 @@
 
 // Committers returns the address of the node that gathers this one's claims,
 // empty for this node itself, and how many nodes of the mesh commit claims.
-func (h *Heart) Committers() (string, int) {
+func (h *Core) Committers() (string, int) {
 	n := 0
 	for _, d := range h.table.domains {
 		if d.count >= gatherFrom {
@@ -57,7 +57,7 @@
 // ErrNoRoot if nothing was sent.
 func (s *Links) HandClaims(ctx context.Context, orders []byte) ([]byte, error) {
 	addr := ""
-	s.Ask(func(h *Heart) { addr, _ = h.Committers() })
+	s.Ask(func(h *Core) { addr, _ = h.Committers() })
 	if addr == "" {
 		return nil, ErrNoRoot
 	}
--- a/briarrockd/peer/contact.go
+++ b/briarrockd/peer/contact.go
@@ -57,7 +57,7 @@
 	small bool
 }
 
-func (h *Heart) tickContacts() {
+func (h *Core) tickContacts() {
 	if h.self.State == Leaving {
 		return
 	}
@@ -81,7 +81,7 @@
 
 // readPause is how long a node that has lost its last link, or has none yet,
 // waits before it reads the rows.
-func (h *Heart) readPause() time.Duration {
+func (h *Core) readPause() time.Duration {
 	if h.askFirst() {
 		return 0
 	}
@@ -99,14 +99,14 @@
 // have been stopped with it. The rows then also tell it whether it may read the
 // configuration at once, instead of waiting for a peer that has it: after the
 // loss of a whole mesh nobody has.
-func (h *Heart) askFirst() bool {
+func (h *Core) askFirst() bool {
 	return h.cfg.HeadFed && !h.cfg.Bootstrap && !h.version.peered && !h.stored.came
 }
 
 // leaveContacts writes the row of this domain, at its root, when the first
 // members are others than those in it. A node that has read the rows and still
 // has no link may be the first of all: it leaves its address for the others.
-func (h *Heart) leaveContacts() {
+func (h *Core) leaveContacts() {
 	c := &h.stored
 	if !h.isRoot() {
 		c.rootAt = time.Time{}
@@ -133,7 +133,7 @@
 	h.do(WriteContacts{addrs})
 }
 
-func (h *Heart) contactsRead(m ContactsRead) {
+func (h *Core) contactsRead(m ContactsRead) {
 	addrs := m.Addrs
 	h.stored.came = true
 	h.stored.small = m.Near > 0 && m.Near <= wholeDomain
--- a/briarrockd/peer/duty.go
+++ b/briarrockd/peer/duty.go
@@ -106,7 +106,7 @@
 
 // allWatch tells whether each node watches for itself: no domain of the region is
 // large.
-func (h *Heart) allWatch() bool {
+func (h *Core) allWatch() bool {
 	for _, d := range h.table.domains {
 		if d.region == h.self.Region && d.count > wholeDomain {
 			return false
@@ -117,7 +117,7 @@
 
 // watches tells whether this node is one of those that watch for a large region,
 // while no region nearer to the platform does.
-func (h *Heart) watches() bool {
+func (h *Core) watches() bool {
 	if h.now.Sub(h.watch.duty.nearAt) <= lapseAfter {
 		return false
 	}
@@ -125,7 +125,7 @@
 }
 
 // tickDuty decides whether this node is to look at the platform, and how.
-func (h *Heart) tickDuty() {
+func (h *Core) tickDuty() {
 	if !h.cfg.HeadFed {
 		return
 	}
@@ -142,7 +142,7 @@
 	h.do(w)
 }
 
-func (h *Heart) dutyNow() Watch {
+func (h *Core) dutyNow() Watch {
 	w := Watch{On: true, Seen: h.watch.seen}
 	switch {
 	case !h.version.ready:
@@ -166,7 +166,7 @@
 // A restarted node does so as soon as it has a version to confirm. Where nobody that it
 // is linked to has one either, the carriers read it for all: whole copies for each node
 // would fill the link between regions for seconds.
-func (h *Heart) readsAtStart() bool {
+func (h *Core) readsAtStart() bool {
 	since := h.now.Sub(h.watch.startedAt)
 	carrier := len(h.links) > 0 && h.watches()
 	switch {
@@ -186,7 +186,7 @@
 // lapsed tells whether nobody else seems to poll the platform. Where others have just
 // tried, this node waits for its turn: a poll that succeeds makes its own needless,
 // and one that fails most likely fails for all.
-func (h *Heart) lapsed() bool {
+func (h *Core) lapsed() bool {
 	d := &h.watch.duty
 	n := len(h.table.members(h.self.Domain))
 	spread := lapseSpread * time.Duration(max(h.position(), 0)) / time.Duration(n+1)
@@ -200,7 +200,7 @@
 
 // lookFailed notes that this node's own poll had no answer. A spare node leaves the
 // next try to the others.
-func (h *Heart) lookFailed() {
+func (h *Core) lookFailed() {
 	h.watch.fails++
 	d := &h.watch.duty
 	if !d.now.Spare {
@@ -212,14 +212,14 @@
 }
 
 // tried draws the pause after a poll by a spare node, here or elsewhere.
-func (h *Heart) tried() {
+func (h *Core) tried() {
 	d := &h.watch.duty
 	d.triedAt, d.pause = h.now, h.jitter(spareEvery*time.Duration(h.Members()))
 }
 
 // looked takes this node's own look at the platform, which found nothing newer
 // than what it has told.
-func (h *Heart) looked(m Looked) {
+func (h *Core) looked(m Looked) {
 	h.watch.seen = max(h.watch.seen, m.Seen)
 	h.watch.duty.measured(m.Delay)
 	h.headIs(h.version.number, m.At)
@@ -239,7 +239,7 @@
 }
 
 // tellLook tells the other nodes of this node's own look.
-func (h *Heart) tellLook(at time.Time) {
+func (h *Core) tellLook(at time.Time) {
 	if !h.cfg.HeadFed || h.allWatch() {
 		return
 	}
@@ -251,7 +251,7 @@
 }
 
 // announce tells the other nodes that this node still watches, while its poll waits.
-func (h *Heart) announce() {
+func (h *Core) announce() {
 	d := &h.watch.duty
 	waits := d.now.On && d.now.Wait > 0 && h.watch.fails == 0
 	if waits && h.now.Sub(d.announcedAt) >= announceEvery && h.now.Sub(d.ownAt) <= announceFor {
@@ -260,13 +260,13 @@
 }
 
 // tellTry tells the other nodes that this node begins to poll since nobody else seems to.
-func (h *Heart) tellTry() {
+func (h *Core) tellTry() {
 	f := h.ownNotice()
 	f.Try = true
 	h.passFresh(0, f)
 }
 
-func (h *Heart) ownNotice() Fresh {
+func (h *Core) ownNotice() Fresh {
 	d := &h.watch.duty
 	d.notices++
 	return Fresh{Host: h.self.Host, Incarnation: h.self.Incarnation, Look: d.notices, Region: h.self.Region}
@@ -278,7 +278,7 @@
 // could come back to a node by another way it would seem younger each time, and
 // over slow links a region would go on telling itself that somebody looks long
 // after nobody did.
-func (h *Heart) fresh(l *link, f Fresh) {
+func (h *Core) fresh(l *link, f Fresh) {
 	d := &h.watch.duty
 	name := lookName{f.Incarnation, f.Look}
 	last, known := d.lookers[f.Host]
@@ -300,7 +300,7 @@
 	h.passFresh(l.id, f)
 }
 
-func (h *Heart) passFresh(from LinkID, f Fresh) {
+func (h *Core) passFresh(from LinkID, f Fresh) {
 	for _, l := range h.sortedLinks() {
 		if l.id != from && !l.lazy && !h.restricted(l) {
 			h.send(l, f)
@@ -309,7 +309,7 @@
 }
 
 // fetchAt is from when on a version that a peer has may be asked for.
-func (h *Heart) fetchAt() time.Time {
+func (h *Core) fetchAt() time.Time {
 	switch {
 	case !h.cfg.HeadFed || !h.version.ready:
 		return h.now
--- a/briarrockd/peer/duty_test.go
+++ b/briarrockd/peer/duty_test.go
@@ -9,9 +9,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// large is a fed Heart in a domain of n members, linked to the two that watch
+// large is a fed Core in a domain of n members, linked to the two that watch
 // there, with version 1 in use.
-func large(c *qt.C, n int) (*Heart, time.Time) {
+func large(c *qt.C, n int) (*Core, time.Time) {
 	now := time.Unix(1000, 0)
 	hosts := make([]string, 0, n)
 	for i := range n {
@@ -37,8 +37,8 @@
 	return h, now
 }
 
-// beats steps a Heart while its first peer tells of looks at the platform.
-func beats(h *Heart, now time.Time, d time.Duration, f Fresh) (time.Time, []Cmd) {
+// beats steps a Core while its first peer tells of looks at the platform.
+func beats(h *Core, now time.Time, d time.Duration, f Fresh) (time.Time, []Cmd) {
 	var out []Cmd
 	for end := now.Add(d); now.Before(end); {
 		f.Look++
--- a/briarrockd/peer/fabric_test.go
+++ b/briarrockd/peer/fabric_test.go
@@ -13,9 +13,9 @@
 	"briarrock.example/mesh/snapshot"
 )
 
-// fabric carries messages between Hearts in memory, with delays and faults,
+// fabric carries messages between Cores in memory, with delays and faults,
 // on the clock of the test's bubble. It is the small fake at the interface
-// of the Heart: it has no logic of the mesh itself.
+// of the Core: it has no logic of the mesh itself.
 type fabric struct {
 	rng    *rand.Rand
 	nodes  []*fake
@@ -40,10 +40,10 @@
 	cutOff  map[string]bool // domains or regions that are cut off
 }
 
-// fake is a host with the Heart of its present process.
+// fake is a host with the Core of its present process.
 type fake struct {
 	cfg    Config
-	heart  *Heart
+	heart  *Core
 	alive  bool
 	paused bool
 	later  []func() // what waits for the end of a pause
@@ -247,7 +247,7 @@
 	return d
 }
 
-// tell gives a host's Heart a message and carries out what it decides.
+// tell gives a host's Core a message and carries out what it decides.
 func (f *fabric) tell(x *fake, m Msg) {
 	if !x.alive {
 		return
--- a/briarrockd/peer/fed_test.go
+++ b/briarrockd/peer/fed_test.go
@@ -10,8 +10,8 @@
 	"briarrock.example/mesh/snapshot"
 )
 
-// fed is a Heart whose node watches the platform itself, with one link.
-func fed(c *qt.C) (*Heart, time.Time) {
+// fed is a Core whose node watches the platform itself, with one link.
+func fed(c *qt.C) (*Core, time.Time) {
 	now := time.Unix(1000, 0)
 	h := New(Config{Self: member("a"), HeadFed: true}, rand.New(rand.NewPCG(1, 1)), now)
 	h.Step(now, LinkUp{Link: 1, Hello: Hello{Member: member("b")}, Addr: "b:1"})
@@ -19,8 +19,8 @@
 	return h, now
 }
 
-// ticks steps a Heart through a time and returns what it did.
-func ticks(h *Heart, now time.Time, d time.Duration) (time.Time, []Cmd) {
+// ticks steps a Core through a time and returns what it did.
+func ticks(h *Core, now time.Time, d time.Duration) (time.Time, []Cmd) {
 	var out []Cmd
 	for end := now.Add(d); now.Before(end); {
 		now = now.Add(TickEvery)
@@ -51,7 +51,7 @@
 	return n
 }
 
-// TestFed checks that a Heart which is fed asks the platform for nothing, and
+// TestFed checks that a Core which is fed asks the platform for nothing, and
 // its peer only if its own watch has not brought a version that the peer has.
 //
 // Every node watches the platform. If each also sent every version to its
@@ -86,7 +86,7 @@
 	c.Check(count[ReadObject](cmds), qt.Equals, 0)
 }
 
-// TestFedBack feeds a Heart an older version, as a store that is restored
+// TestFedBack feeds a Core an older version, as a store that is restored
 // could: what is served stays.
 func TestFedBack(t *testing.T) {
 	c := qt.New(t)
--- a/briarrockd/peer/floor.go
+++ b/briarrockd/peer/floor.go
@@ -8,7 +8,7 @@
 // sawUse remembers what a peer uses, so that it can be told its floor after a
 // restart: the peer itself if it is of the own domain, and its whole domain,
 // in case all of its nodes restart.
-func (h *Heart) sawUse(l *link, version uint64) {
+func (h *Core) sawUse(l *link, version uint64) {
 	v := &h.version
 	v.peered = true
 	v.domains[l.domain] = max(v.domains[l.domain], version)
@@ -18,13 +18,13 @@
 }
 
 // raiseFloor takes a peer's word for what this host has served before.
-func (h *Heart) raiseFloor(floor uint64) {
+func (h *Core) raiseFloor(floor uint64) {
 	h.version.floor = max(h.version.floor, floor)
 }
 
 // heardOutside notes that a peer of another domain holds a version, and so
 // remembers that this domain uses it.
-func (h *Heart) heardOutside(l *link, version uint64) {
+func (h *Core) heardOutside(l *link, version uint64) {
 	if l.domain == h.self.Domain || version == 0 {
 		return
 	}
@@ -34,7 +34,7 @@
 // knownOutside takes in that other domains know that this one uses a version,
 // and passes it on within the domain. A node that has not served yet takes it
 // for its floor.
-func (h *Heart) knownOutside(from LinkID, version uint64) {
+func (h *Core) knownOutside(from LinkID, version uint64) {
 	v := &h.version
 	if version <= v.outside {
 		return
@@ -53,7 +53,7 @@
 
 // use puts a version into use. It is the only place where the number changes,
 // and the one check that keeps a node from ever going back stands in arrived.
-func (h *Heart) use(number uint64, hash snapshot.Hash, s *snapshot.Snapshot) {
+func (h *Core) use(number uint64, hash snapshot.Hash, s *snapshot.Snapshot) {
 	v := &h.version
 	v.before, v.numberBefore = v.hash, v.number
 	v.number = number
@@ -87,7 +87,7 @@
 // and, in case the whole domain dies, by another domain. That costs a round
 // trip or two, and only in the domain where the version came in; where nobody
 // answers, a node waits confirmWithin. docs/design/floor.md has what is left.
-func (h *Heart) serve() {
+func (h *Core) serve() {
 	v := &h.version
 	if !v.ready || v.staged == nil {
 		return
@@ -100,7 +100,7 @@
 	v.staged = nil
 }
 
-func (h *Heart) confirmed() bool {
+func (h *Core) confirmed() bool {
 	v := &h.version
 	if h.now.Sub(v.stagedAt) >= confirmWithin {
 		return true
@@ -112,7 +112,7 @@
 }
 
 // hasNeighbour tells whether there is a link within the domain.
-func (h *Heart) hasNeighbour() bool {
+func (h *Core) hasNeighbour() bool {
 	for _, l := range h.byHost {
 		if l.domain == h.self.Domain {
 			return true
@@ -122,7 +122,7 @@
 }
 
 // remembered notes that a peer knows that this node holds a version.
-func (h *Heart) remembered(l *link, number uint64) {
+func (h *Core) remembered(l *link, number uint64) {
 	v := &h.version
 	if l.domain != h.self.Domain || number < v.number || v.number == 0 {
 		return
@@ -135,7 +135,7 @@
 // remembers what it served, while the platform can't be asked: its neighbours in
 // the domain, and one member of each other domain of the region. A version is
 // served only once one of them holds it.
-func (h *Heart) metAll() bool {
+func (h *Core) metAll() bool {
 	if len(h.links) == 0 || h.watch.fails == 0 {
 		return false
 	}
@@ -172,7 +172,7 @@
 // they are the head. Where the store can't be reached, the node waits for its
 // domain's peers and never goes below what they saw it use: once a look has failed,
 // until it has met all of those who would remember, or else for serveAfter.
-func (h *Heart) becomeReady() {
+func (h *Core) becomeReady() {
 	v := &h.version
 	if v.ready || v.number == 0 || v.number < v.floor {
 		return
--- a/briarrockd/peer/gossip.go
+++ b/briarrockd/peer/gossip.go
@@ -20,7 +20,7 @@
 // new one would count as the older, and its peers would ignore it for as long
 // as they remember the other. Going above what they know is enough, since
 // only the newest process of a host can still speak for it.
-func (h *Heart) reincarnate(known uint64) {
+func (h *Core) reincarnate(known uint64) {
 	if known <= h.self.Incarnation {
 		return
 	}
@@ -29,13 +29,13 @@
 	h.announceSelf()
 }
 
-func (h *Heart) announceSelf() {
+func (h *Core) announceSelf() {
 	if h.table.put(h.now, h.self) {
 		h.noteNews(h.self.Host, 0)
 	}
 }
 
-func (h *Heart) targetsChanged(targets []Target) {
+func (h *Core) targetsChanged(targets []Target) {
 	if len(targets) > maxTargets {
 		targets = targets[:maxTargets]
 	}
@@ -45,21 +45,21 @@
 	h.flushNews()
 }
 
-func (h *Heart) leave() {
+func (h *Core) leave() {
 	h.self.State = Leaving
 	h.self.Seq++
 	h.announceSelf()
 	h.flushNews()
 }
 
-func (h *Heart) noteNews(host string, from LinkID) {
+func (h *Core) noteNews(host string, from LinkID) {
 	h.news[host] = true
 	h.newsFrom[host] = from
 	h.changed = true
 }
 
 // learn takes one record from a peer.
-func (h *Heart) learn(from LinkID, m Member) {
+func (h *Core) learn(from LinkID, m Member) {
 	if m.Host == h.self.Host {
 		h.learnSelf(m)
 		return
@@ -77,7 +77,7 @@
 	h.noteNews(m.Host, from)
 }
 
-func (h *Heart) logGone(m Member) {
+func (h *Core) logGone(m Member) {
 	e := event.MemberDead
 	if m.State == Leaving {
 		e = event.MemberLeft
@@ -88,7 +88,7 @@
 // learnSelf answers what others hold of this node. A suspicion or an obituary
 // is objected to with a higher sequence; a record of a later incarnation that
 // is not ours can only be from before this process, with a clock ahead.
-func (h *Heart) learnSelf(m Member) {
+func (h *Core) learnSelf(m Member) {
 	if h.self.State == Leaving {
 		return
 	}
@@ -105,7 +105,7 @@
 	}
 }
 
-func (h *Heart) records(l *link, f Records) {
+func (h *Core) records(l *link, f Records) {
 	for i := range f.Members {
 		h.learn(l.id, f.Members[i])
 	}
@@ -114,7 +114,7 @@
 // flushNews sends the records that changed since the last tick on every link
 // but the one that each came over. Gathering them for one tick turns the
 // return of a whole domain into a few frames.
-func (h *Heart) flushNews() {
+func (h *Core) flushNews() {
 	if len(h.news) == 0 {
 		return
 	}
@@ -134,7 +134,7 @@
 
 // sendRecords sends the records of hosts in frames of bounded size; with
 // fresh set, not those that came over this very link.
-func (h *Heart) sendRecords(l *link, hosts []string, fresh bool) {
+func (h *Core) sendRecords(l *link, hosts []string, fresh bool) {
 	var batch []Member
 	for _, host := range hosts {
 		r := h.table.byHost[host]
@@ -152,7 +152,7 @@
 	}
 }
 
-func (h *Heart) beat(l *link, f Beat) {
+func (h *Core) beat(l *link, f Beat) {
 	h.heardFresh(look{version: f.Version, seen: f.Seen, at: h.ago(f.Fresh)})
 	h.sawUse(l, f.Version)
 	h.heardOutside(l, f.Version)
@@ -170,7 +170,7 @@
 	}
 }
 
-func (h *Heart) ownDigests() Digests {
+func (h *Core) ownDigests() Digests {
 	var f Digests
 	for _, name := range h.table.names() {
 		d := h.table.domains[name]
@@ -182,7 +182,7 @@
 // digests compares tables, domain by domain. A domain of which one side has
 // nothing is sent whole or asked for whole; of another that differs, the
 // listing of ranks goes first, since it is much smaller than the records.
-func (h *Heart) digests(l *link, f Digests) {
+func (h *Core) digests(l *link, f Digests) {
 	if h.restricted(l) {
 		return
 	}
@@ -201,7 +201,7 @@
 	}
 }
 
-func (h *Heart) hostsOf(name string) []string {
+func (h *Core) hostsOf(name string) []string {
 	order := h.table.members(name)
 	hosts := make([]string, 0, len(order))
 	for _, r := range order {
@@ -211,7 +211,7 @@
 }
 
 // listingOf lists all of a domain's records, tombstones included.
-func (h *Heart) listingOf(name string) Listing {
+func (h *Core) listingOf(name string) Listing {
 	f := Listing{Domain: name}
 	for _, host := range h.hosts() {
 		r := h.table.byHost[host]
@@ -223,7 +223,7 @@
 }
 
 // listing answers with what the peer lacks and asks for what it has better.
-func (h *Heart) listing(l *link, f Listing) {
+func (h *Core) listing(l *link, f Listing) {
 	listed := make(map[string]bool, len(f.Entries))
 	var wants, better []string
 	for _, e := range f.Entries {
@@ -249,11 +249,11 @@
 	}
 }
 
-func (h *Heart) wants(l *link, f Wants) { h.sendRecords(l, f.Hosts, false) }
+func (h *Core) wants(l *link, f Wants) { h.sendRecords(l, f.Hosts, false) }
 
 // tickMembers suspects neighbours that have no link, declares suspects dead
 // and forgets tombstones.
-func (h *Heart) tickMembers() {
+func (h *Core) tickMembers() {
 	h.watchNeighbours()
 	h.buryDead()
 	if h.now.Before(h.nextSweep) {
@@ -275,7 +275,7 @@
 
 // neighbours are the members of the own domain that should have a link with
 // this node, whichever side dials it.
-func (h *Heart) neighbours() []*record {
+func (h *Core) neighbours() []*record {
 	i := h.position()
 	if i < 0 || h.self.State == Leaving {
 		return nil
@@ -298,7 +298,7 @@
 	return out
 }
 
-func (h *Heart) watchNeighbours() {
+func (h *Core) watchNeighbours() {
 	near := make(map[string]bool)
 	for _, r := range h.neighbours() {
 		near[r.Host] = true
@@ -329,7 +329,7 @@
 // suspect says that a member of the own domain can't be reached. It is said
 // in the member's own incarnation and sequence, so that the member's
 // objection, with a higher sequence, takes it back everywhere.
-func (h *Heart) suspect(r *record) {
+func (h *Core) suspect(r *record) {
 	m := r.Member
 	m.State = Suspect
 	if h.table.put(h.now, m) {
@@ -341,7 +341,7 @@
 // buryDead declares suspects of the own domain dead. Other domains are left
 // to their own members, who hear of them first: a domain that is cut off as a
 // whole would otherwise be declared dead from afar, and keep nothing.
-func (h *Heart) buryDead() {
+func (h *Core) buryDead() {
 	for _, r := range h.table.members(h.self.Domain) {
 		if r.State != Suspect || h.now.Sub(r.since) < deadAfter || r.Host == h.self.Host {
 			continue
--- a/briarrockd/peer/introduce.go
+++ b/briarrockd/peer/introduce.go
@@ -17,7 +17,7 @@
 
 // introduces tells whether a link that has just come up need only lead its peer to
 // others of its region: it knows hardly anybody, and this node knows some of them.
-func (h *Heart) introduces(l *link, hi Hello) bool {
+func (h *Core) introduces(l *link, hi Hello) bool {
 	if l.outbound || l.domain == h.self.Domain || hi.Members == 0 || hi.Members > newcomerKnows {
 		return false
 	}
@@ -34,10 +34,10 @@
 }
 
 // restricted tells whether a link still only leads a newcomer to its own domain.
-func (h *Heart) restricted(l *link) bool { return h.now.Before(l.introduces) }
+func (h *Core) restricted(l *link) bool { return h.now.Before(l.introduces) }
 
 // introduce sends a newcomer the members of its domain and the bridges of its region.
-func (h *Heart) introduce(l *link) {
+func (h *Core) introduce(l *link) {
 	for _, name := range h.table.names() {
 		hosts := h.hostsOf(name)
 		switch {
--- a/briarrockd/peer/links.go
+++ b/briarrockd/peer/links.go
@@ -33,7 +33,7 @@
 
 // Bounds of the shell.
 const (
-	// inboxSize and outboxSize bound what waits for the Heart and for a link.
+	// inboxSize and outboxSize bound what waits for the Core and for a link.
 	// A peer that doesn't read fills its outbox and loses the link.
 	inboxSize  = 1024
 	outboxSize = 512
@@ -47,27 +47,27 @@
 	sendWithin = silentAfter
 )
 
-// Hooks are what the rest of the node does with a Heart's decisions. They are
+// Hooks are what the rest of the node does with a Core's decisions. They are
 // called one after the other and must return soon.
 type Hooks struct {
 	Use     func(Use)
 	Publish func(Publish)
 	Held    func(Held)
-	// Watch may be nil where the Heart reads the head itself.
+	// Watch may be nil where the Core reads the head itself.
 	Watch func(Watch)
 }
 
-// Links is the shell around a Heart: it owns the goroutines and sockets. Make
+// Links is the shell around a Core: it owns the goroutines and sockets. Make
 // one with New.
 type Links struct {
-	heart  *Heart
+	heart  *Core
 	store  platform.Store
 	log    *event.Log
 	hooks  Hooks
 	keys   Keys
 	domain string
 	inbox  chan Msg
-	asks   chan func(*Heart)
+	asks   chan func(*Core)
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -101,7 +101,7 @@
 	Keys     Keys
 	Metrics  *metrics.Set
 	Listener net.Listener
-	// Seed starts the random numbers of the Heart.
+	// Seed starts the random numbers of the Core.
 	Seed uint64
 	// Dial opens connections; nil for the usual way.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -109,7 +109,7 @@
 	Claims func(ctx context.Context, orders []byte) ([]byte, error)
 }
 
-// NewLinks starts a Heart with its shell. Close stops it.
+// NewLinks starts a Core with its shell. Close stops it.
 func NewLinks(cfg Config, d Deps) *Links {
 	if d.Metrics == nil {
 		d.Metrics = metrics.NewSet()
@@ -124,7 +124,7 @@
 		domain:  cfg.Self.Domain,
 		claims:  d.Claims,
 		inbox:   make(chan Msg, inboxSize),
-		asks:    make(chan func(*Heart)),
+		asks:    make(chan func(*Core)),
 		ctx:     ctx,
 		cancel:  cancel,
 		streams: make(map[LinkID]*stream),
@@ -148,7 +148,7 @@
 	s.root.close()
 }
 
-// Tell gives the Heart a message. It returns false when Links is closed.
+// Tell gives the Core a message. It returns false when Links is closed.
 func (s *Links) Tell(m Msg) bool {
 	select {
 	case s.inbox <- m:
@@ -158,11 +158,11 @@
 	}
 }
 
-// Ask runs f with the Heart, between two steps.
-func (s *Links) Ask(f func(*Heart)) bool {
+// Ask runs f with the Core, between two steps.
+func (s *Links) Ask(f func(*Core)) bool {
 	done := make(chan struct{})
 	select {
-	case s.asks <- func(h *Heart) { f(h); close(done) }:
+	case s.asks <- func(h *Core) { f(h); close(done) }:
 		<-done
 		return true
 	case <-s.ctx.Done():
@@ -170,7 +170,7 @@
 	}
 }
 
-// run is the only goroutine that touches the Heart.
+// run is the only goroutine that touches the Core.
 func (s *Links) run() {
 	tick := time.NewTicker(TickEvery)
 	defer tick.Stop()
@@ -318,16 +318,16 @@
 // Content returns a version's bytes if this node holds them.
 func (s *Links) Content(hash snapshot.Hash) ([]byte, bool) {
 	var b []byte
-	s.Ask(func(h *Heart) { b = h.version.content[hash] })
+	s.Ask(func(h *Core) { b = h.version.content[hash] })
 	return b, b != nil
 }
 
-// Status answers for the whole mesh: from this node's Heart if it is the root
+// Status answers for the whole mesh: from this node's Core if it is the root
 // of its domain, or else by asking the root.
 func (s *Links) Status(ctx context.Context) Status {
 	var st Status
 	var root string
-	s.Ask(func(h *Heart) { st, root = h.Status(time.Now()) })
+	s.Ask(func(h *Core) { st, root = h.Status(time.Now()) })
 	if root == "" {
 		return st
 	}
@@ -379,7 +379,7 @@
 		return errors.Wrap(err, "peer: status")
 	}
 	var st Status
-	s.Ask(func(h *Heart) { st, _ = h.Status(time.Now()) })
+	s.Ask(func(h *Core) { st, _ = h.Status(time.Now()) })
 	b, err := codec.Encode(st)
 	if err != nil {
 		return errors.Wrap(err, "peer: status")
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -1,7 +1,7 @@
 // Package peer is a node's share in the mesh: which members there are, which
 // version of the configuration is the newest, and how both reach every node.
 //
-// The package is built like a state machine. A Heart holds everything that a
+// The package is built like a state machine. A Core holds everything that a
 // node knows. Step takes one message, something that happened, and returns
 // commands, things to do:
 //
@@ -10,9 +10,9 @@
 //		// carry out c: dial, send, read the store, serve a version …
 //	}
 //
-// A Heart does no I/O, starts no goroutine and reads no clock, so a test can
+// A Core does no I/O, starts no goroutine and reads no clock, so a test can
 // drive hundreds of them through any order of events. The shell in links.go
-// does the I/O of one Heart.
+// does the I/O of one Core.
 //
 // # Links
 //
@@ -55,10 +55,10 @@
 	"briarrock.example/mesh/snapshot"
 )
 
-// TickEvery is how often a Heart wants a Tick.
+// TickEvery is how often a Core wants a Tick.
 const TickEvery = 100 * time.Millisecond
 
-// The times by which a Heart decides.
+// The times by which a Core decides.
 const (
 	// beatEvery is the time between heartbeats on a link.
 	beatEvery = 2 * time.Second
@@ -78,7 +78,7 @@
 	staleAfter = 8 * time.Second
 )
 
-// Config is what a Heart must be told.
+// Config is what a Core must be told.
 type Config struct {
 	// Self is the node's own record, with its first incarnation.
 	Self Member
@@ -93,15 +93,15 @@
 	// Bootstrap is set when the whole mesh starts for the first time: nobody is
 	// there yet to be found.
 	Bootstrap bool
-	// HeadFed is set where the platform's adapter does the reading: the Heart
+	// HeadFed is set where the platform's adapter does the reading: the Core
 	// says who is to look (Watch) and is told what was found (Committed,
 	// Looked). It then reads nothing itself.
 	HeadFed bool
 }
 
-// Heart is everything that a node knows and decides about its peers. Its zero
+// Core is everything that a node knows and decides about its peers. Its zero
 // value is not useful; New makes one.
-type Heart struct {
+type Core struct {
 	cfg  Config
 	rng  *rand.Rand
 	now  time.Time
@@ -162,10 +162,10 @@
 	nextAt time.Time
 }
 
-// New returns a Heart that knows only itself and its contacts. rng decides
+// New returns a Core that knows only itself and its contacts. rng decides
 // all that is spread at random.
-func New(cfg Config, rng *rand.Rand, now time.Time) *Heart {
-	h := &Heart{
+func New(cfg Config, rng *rand.Rand, now time.Time) *Core {
+	h := &Core{
 		cfg:      cfg,
 		rng:      rng,
 		now:      now,
@@ -189,7 +189,7 @@
 
 // Step takes what happened at now and returns what to do. Times must not go
 // back from one call to the next.
-func (h *Heart) Step(now time.Time, m Msg) []Cmd {
+func (h *Core) Step(now time.Time, m Msg) []Cmd {
 	h.now = now
 	h.cmds = nil
 	switch m := m.(type) {
@@ -225,18 +225,18 @@
 	return h.cmds
 }
 
-func (h *Heart) do(c Cmd) { h.cmds = append(h.cmds, c) }
+func (h *Core) do(c Cmd) { h.cmds = append(h.cmds, c) }
 
-func (h *Heart) log(e event.Event, f event.Fields) { h.do(Log{e, f}) }
+func (h *Core) log(e event.Event, f event.Fields) { h.do(Log{e, f}) }
 
-func (h *Heart) send(l *link, f Frame) { h.do(Send{l.id, f}) }
+func (h *Core) send(l *link, f Frame) { h.do(Send{l.id, f}) }
 
 // jitter is a random time below d.
-func (h *Heart) jitter(d time.Duration) time.Duration {
+func (h *Core) jitter(d time.Duration) time.Duration {
 	return time.Duration(h.rng.Int64N(int64(d) + 1))
 }
 
-func (h *Heart) tick() {
+func (h *Core) tick() {
 	h.flushNews()
 	h.topology()
 	h.tickLinks()
@@ -254,7 +254,7 @@
 }
 
 // members copies the live members, this node included.
-func (h *Heart) members() []Member {
+func (h *Core) members() []Member {
 	out := make([]Member, 0, len(h.table.byHost))
 	for _, name := range h.table.names() {
 		for _, r := range h.table.members(name) {
@@ -264,7 +264,7 @@
 	return out
 }
 
-func (h *Heart) received(m Received) {
+func (h *Core) received(m Received) {
 	l := h.links[m.Link]
 	if l == nil {
 		return
@@ -307,7 +307,7 @@
 	}
 }
 
-func (h *Heart) hello(l *link) Hello {
+func (h *Core) hello(l *link) Hello {
 	hi := Hello{
 		Member:  h.self,
 		Version: h.version.number,
@@ -329,16 +329,16 @@
 }
 
 // Version returns the version in use and its hash; 0 before the first.
-func (h *Heart) Version() (uint64, snapshot.Hash) { return h.version.number, h.version.hash }
+func (h *Core) Version() (uint64, snapshot.Hash) { return h.version.number, h.version.hash }
 
 // Ready tells whether the node may serve: see versions.ready.
-func (h *Heart) Ready() bool { return h.version.ready }
+func (h *Core) Ready() bool { return h.version.ready }
 
 // Links returns how many links are open.
-func (h *Heart) Links() int { return len(h.links) }
+func (h *Core) Links() int { return len(h.links) }
 
 // Members returns how many live members are known, this node included.
-func (h *Heart) Members() int {
+func (h *Core) Members() int {
 	n := 0
 	for _, d := range h.table.domains {
 		n += d.count
--- a/briarrockd/peer/polls_test.go
+++ b/briarrockd/peer/polls_test.go
@@ -16,7 +16,7 @@
 	pollAgain = time.Second
 )
 
-// fed is a fabric whose hosts poll the platform only when their Hearts say so, as
+// fed is a fabric whose hosts poll the platform only when their Cores say so, as
 // the platform's adapter does.
 type fedFabric struct {
 	*fabric
@@ -47,7 +47,7 @@
 	return f
 }
 
-// turn takes a Heart's decision on polling.
+// turn takes a Core's decision on polling.
 func (f *fedFabric) turn(x *fake, w Watch) {
 	p := f.hosts[x]
 	if p == nil || p.process != x.started {
@@ -132,7 +132,7 @@
 	return n
 }
 
-// watching are the hosts whose Hearts have them poll now.
+// watching are the hosts whose Cores have them poll now.
 func (f *fedFabric) watching() []*fake {
 	var out []*fake
 	for _, x := range f.nodes {
--- a/briarrockd/peer/push.go
+++ b/briarrockd/peer/push.go
@@ -9,7 +9,7 @@
 // peerBehind tells a peer of the version in use if it does not have it. A
 // notice that was lost is told again when the peer's heartbeat still shows an
 // older version.
-func (h *Heart) peerBehind(l *link, number uint64) {
+func (h *Core) peerBehind(l *link, number uint64) {
 	if number >= h.version.number {
 		return
 	}
@@ -29,7 +29,7 @@
 // push sends the version in use itself instead of a notice of it, where the
 // peer has the version before and the difference is small: that spares it the
 // round trip of a fetch. A difference is mostly smaller than the notice.
-func (h *Heart) push(l *link, has uint64, out bool) bool {
+func (h *Core) push(l *link, has uint64, out bool) bool {
 	v := &h.version
 	base, ok := v.content[v.before]
 	if !ok || has != v.numberBefore {
@@ -46,7 +46,7 @@
 
 // pushMost bounds what is pushed over a link. Within a region a peer may get
 // the same push from several links; over the paid link there is one copy.
-func (h *Heart) pushMost(l *link) int {
+func (h *Core) pushMost(l *link) int {
 	if l.region != h.self.Region {
 		return pushPaid
 	}
@@ -54,7 +54,7 @@
 }
 
 // have takes a peer's word that a push has arrived.
-func (h *Heart) have(l *link, f Have) {
+func (h *Core) have(l *link, f Have) {
 	l.version = max(l.version, f.Version)
 	h.sawUse(l, f.Version)
 	h.heardOutside(l, f.Version)
@@ -63,14 +63,14 @@
 
 // pushed takes a version that was not asked for. Its sender waits to hear
 // that it has arrived, unless ours has crossed it on the way.
-func (h *Heart) pushed(l *link, f Content) {
+func (h *Core) pushed(l *link, f Content) {
 	h.notice(l, Notice{f.Version, f.Hash, f.Out})
 	h.acknowledge(l, f.Version)
 }
 
 // acknowledge tells who sent a version that it has arrived, unless it has been
 // told of the same version from here meanwhile.
-func (h *Heart) acknowledge(l *link, number uint64) {
+func (h *Core) acknowledge(l *link, number uint64) {
 	if l.told < number {
 		l.told, l.toldAt = number, h.now
 		h.send(l, Have{number})
@@ -79,7 +79,7 @@
 
 // notice takes a peer's word that it holds a version. It may be about to
 // serve it, so that is remembered as its floor.
-func (h *Heart) notice(l *link, f Notice) {
+func (h *Core) notice(l *link, f Notice) {
 	h.sawUse(l, f.Version)
 	h.heardOutside(l, f.Version)
 	if f.Out {
@@ -91,7 +91,7 @@
 
 // tellLazy tells a lazy link of the version in use, after a delay in which
 // the other carriers' link has mostly done it at no cost here.
-func (h *Heart) tellLazy(l *link) {
+func (h *Core) tellLazy(l *link) {
 	if !l.lazy || l.version >= h.version.number {
 		l.owed = time.Time{}
 		return
@@ -105,7 +105,7 @@
 	}
 }
 
-func (h *Heart) packOnce(baseHash, hash snapshot.Hash, base, b []byte) ([]byte, error) {
+func (h *Core) packOnce(baseHash, hash snapshot.Hash, base, b []byte) ([]byte, error) {
 	p := &h.version.pack
 	if p.bytes != nil && p.base == baseHash && p.hash == hash {
 		return p.bytes, nil
@@ -120,7 +120,7 @@
 
 // unpackPush tries to put a pushed version into use. If it doesn't fit, it
 // counts as a notice.
-func (h *Heart) unpackPush(f Content) bool {
+func (h *Core) unpackPush(f Content) bool {
 	base, ok := h.version.content[f.Base]
 	if !ok {
 		return false
@@ -133,7 +133,7 @@
 
 // unpack puts a version that came from a peer into use, if it is whole. The
 // difference is passed on as it came, so that only the first node packs it.
-func (h *Heart) unpack(from string, base []byte, f Content) bool {
+func (h *Core) unpack(from string, base []byte, f Content) bool {
 	b, err := snapshot.Unpack(base, f.Packed)
 	if err != nil {
 		h.refuse(from, f.Version, err)
--- a/briarrockd/peer/report.go
+++ b/briarrockd/peer/report.go
@@ -50,9 +50,9 @@
 	}
 }
 
-func (h *Heart) reportChanged() { h.report.dirty = true }
+func (h *Core) reportChanged() { h.report.dirty = true }
 
-func (h *Heart) reportLost(host string) {
+func (h *Core) reportLost(host string) {
 	if _, ok := h.report.children[host]; ok {
 		delete(h.report.children, host)
 		h.report.dirty = true
@@ -62,7 +62,7 @@
 	}
 }
 
-func (h *Heart) reported(l *link, f Report) {
+func (h *Core) reported(l *link, f Report) {
 	if l.domain != h.self.Domain {
 		return
 	}
@@ -73,7 +73,7 @@
 // subtree adds up this node and what its children reported. Reports of hosts
 // that are no longer children are dropped: after the order changed they would
 // be counted in two places.
-func (h *Heart) subtree() Report {
+func (h *Core) subtree() Report {
 	children := make(map[string]bool)
 	i := h.position()
 	order := h.table.members(h.self.Domain)
@@ -120,7 +120,7 @@
 	return r
 }
 
-func (h *Heart) tickReport() {
+func (h *Core) tickReport() {
 	if h.report.dirty {
 		h.sendReport()
 	}
@@ -132,7 +132,7 @@
 
 // sendReport sends this node's report to its parent, if either changed. At
 // the root it goes out to the other domains instead.
-func (h *Heart) sendReport() {
+func (h *Core) sendReport() {
 	r := h.subtree()
 	h.report.dirty = false
 	if h.isRoot() {
@@ -173,7 +173,7 @@
 }
 
 // summarize tells the other domains what this one uses.
-func (h *Heart) summarize() {
+func (h *Core) summarize() {
 	h.report.nextAt = h.now.Add(summaryEvery)
 	r := h.subtree()
 	s := Summary{
@@ -188,7 +188,7 @@
 	h.relaySummary(0, s)
 }
 
-func (h *Heart) summary(l *link, f Summary) {
+func (h *Core) summary(l *link, f Summary) {
 	old, ok := h.report.domains[f.Domain]
 	if f.Domain == h.self.Domain || (ok && f.At <= old.At) || (!ok && len(h.report.domains) >= maxDomains) {
 		return
@@ -199,7 +199,7 @@
 
 // relaySummary passes a summary on to the bridges of other domains, and to
 // the first two of the own one, who may have to take over.
-func (h *Heart) relaySummary(from LinkID, s Summary) {
+func (h *Core) relaySummary(from LinkID, s Summary) {
 	for _, l := range h.sortedLinks() {
 		if l.id == from || l.lazy || l.domain == s.Domain || !h.carries(l) || h.restricted(l) {
 			continue
@@ -210,7 +210,7 @@
 
 // carries tells whether summaries go over a link: those between domains, and
 // the one between the two bridges of this domain.
-func (h *Heart) carries(l *link) bool {
+func (h *Core) carries(l *link) bool {
 	if l.domain != h.self.Domain {
 		return true
 	}
@@ -224,7 +224,7 @@
 }
 
 // sendSummaries brings a new link up to date.
-func (h *Heart) sendSummaries(l *link) {
+func (h *Core) sendSummaries(l *link) {
 	if l.lazy || !h.carries(l) {
 		return
 	}
@@ -235,7 +235,7 @@
 	}
 }
 
-func (h *Heart) summaryNames() []string {
+func (h *Core) summaryNames() []string {
 	names := make([]string, 0, len(h.report.domains))
 	for name := range h.report.domains {
 		names = append(names, name)
@@ -245,7 +245,7 @@
 }
 
 // noteStale logs, at the root, when another domain falls silent.
-func (h *Heart) noteStale() {
+func (h *Core) noteStale() {
 	if !h.isRoot() {
 		return
 	}
@@ -265,7 +265,7 @@
 // so long that it was most likely given up: nobody of its own is left to say
 // so, and its members would be kept for good. If it was only cut off, they
 // object when they come back.
-func (h *Heart) giveUp(name string) {
+func (h *Core) giveUp(name string) {
 	delete(h.report.domains, name)
 	delete(h.report.stale, name)
 	for _, host := range h.hostsOf(name) {
@@ -304,7 +304,7 @@
 
 // Status returns what this node knows of the mesh, and the address of the
 // node to ask instead when this one is not the root of its domain.
-func (h *Heart) Status(now time.Time) (Status, string) {
+func (h *Core) Status(now time.Time) (Status, string) {
 	s := Status{Version: h.version.number, Hash: h.version.hash.String(), Whole: h.isRoot(), Store: -1}
 	if !h.watch.freshAt.IsZero() {
 		s.Store = now.Sub(h.watch.freshAt).Milliseconds()
--- a/briarrockd/peer/rules_test.go
+++ b/briarrockd/peer/rules_test.go
@@ -15,8 +15,8 @@
 	return Member{Host: host, Domain: "erie-a", Region: "erie", Peer: host + ":1", Call: host + ":2", Incarnation: 1}
 }
 
-// lone is a Heart with one link, to a peer of its domain.
-func lone(c *qt.C) (*Heart, time.Time) {
+// lone is a Core with one link, to a peer of its domain.
+func lone(c *qt.C) (*Core, time.Time) {
 	now := time.Unix(1000, 0)
 	h := New(Config{Self: member("a")}, rand.New(rand.NewPCG(1, 1)), now)
 	h.Step(now, LinkUp{Link: 1, Hello: Hello{Member: member("b")}, Addr: "b:1"})
@@ -56,8 +56,8 @@
 	return false
 }
 
-// serving is a Heart that serves version 5.
-func serving(c *qt.C) (*Heart, time.Time) {
+// serving is a Core that serves version 5.
+func serving(c *qt.C) (*Core, time.Time) {
 	h, now := lone(c)
 	b, hash := bytesOf(c, 5)
 	cmds := h.Step(now, Committed{Version: 5, Hash: hash, Content: b})
@@ -366,7 +366,7 @@
 }
 
 // FuzzFrame sends bytes as a peer could: they are a frame within its bounds,
-// or an error, and a Heart takes any frame without ending the process.
+// or an error, and a Core takes any frame without ending the process.
 func FuzzFrame(f *testing.F) {
 	for _, x := range []Frame{
 		Hello{Member: member("a")},
@@ -457,11 +457,11 @@
 	}
 }
 
-// ring is some Hearts, each linked to the next and the last one, and the frames
+// ring is some Cores, each linked to the next and the last one, and the frames
 // about crashes that are on their way.
 type ring struct {
 	now    time.Time
-	hearts []*Heart
+	hearts []*Core
 	way    []ringFrame
 }
 
--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -44,7 +44,7 @@
 }
 
 // position is this node's place in the order of its domain, -1 if it has none.
-func (h *Heart) position() int {
+func (h *Core) position() int {
 	for i, r := range h.table.members(h.self.Domain) {
 		if r.Host == h.self.Host {
 			return i
@@ -54,7 +54,7 @@
 }
 
 // parent is the member that this node reports to; nil at the root.
-func (h *Heart) parent() *record {
+func (h *Core) parent() *record {
 	i := h.position()
 	if i <= 0 {
 		return nil
@@ -63,7 +63,7 @@
 }
 
 // root is the first member of this node's domain.
-func (h *Heart) root() *record {
+func (h *Core) root() *record {
 	order := h.table.members(h.self.Domain)
 	if len(order) == 0 {
 		return nil
@@ -71,10 +71,10 @@
 	return order[0]
 }
 
-func (h *Heart) isRoot() bool { return h.position() == 0 }
+func (h *Core) isRoot() bool { return h.position() == 0 }
 
 // wishes lists the links that this node has to dial.
-func (h *Heart) wishes() []wish {
+func (h *Core) wishes() []wish {
 	i := h.position()
 	if i < 0 {
 		return nil
@@ -95,7 +95,7 @@
 
 // domainWishes links bridge i to bridge i of each domain of the region that
 // sorts after this one; those before it dial this one.
-func (h *Heart) domainWishes(i int) []wish {
+func (h *Core) domainWishes(i int) []wish {
 	var out []wish
 	for _, name := range h.table.names() {
 		if name <= h.self.Domain || h.table.domains[name].region != h.self.Region {
@@ -111,7 +111,7 @@
 // regionWishes links the carriers of this region to those of each region that
 // sorts after it. The second carrier's links are lazy: they carry news only
 // when the first one's fail to.
-func (h *Heart) regionWishes() []wish {
+func (h *Core) regionWishes() []wish {
 	own := h.carriers(h.self.Region)
 	i := slices.IndexFunc(own, func(r *record) bool { return r.Host == h.self.Host })
 	if i < 0 {
@@ -135,7 +135,7 @@
 // carriers are the up to two members that keep a region's links to other
 // regions: the first of its first two domains, or the first two of its only
 // one. A domain that has not been heard of gives none if another can.
-func (h *Heart) carriers(region string) []*record {
+func (h *Core) carriers(region string) []*record {
 	var out []*record
 	for pass := range 2 {
 		for _, name := range h.table.names() {
@@ -162,14 +162,14 @@
 // stale tells whether this node, as one that should hear of the domain, has
 // not done so for too long. Members that hold no link to a domain never learn
 // of it first hand, so for them no domain is stale.
-func (h *Heart) stale(d *domain) bool {
+func (h *Core) stale(d *domain) bool {
 	if d.name == h.self.Domain || d.heardAt.IsZero() {
 		return false
 	}
 	return h.now.Sub(d.heardAt) > staleAfter && !h.linked(d.name)
 }
 
-func (h *Heart) linked(name string) bool {
+func (h *Core) linked(name string) bool {
 	for _, l := range h.byHost {
 		if l.domain == name {
 			return true
@@ -178,7 +178,7 @@
 	return false
 }
 
-func (h *Heart) regions() []string {
+func (h *Core) regions() []string {
 	seen := make(map[string]bool)
 	var out []string
 	for _, name := range h.table.names() {
@@ -195,7 +195,7 @@
 // pick takes member i of a domain; while that can't be linked to, another one
 // at random. So a domain whose first members all died unheard, while it was
 // cut off, is still found again.
-func (h *Heart) pick(name string, i int) *record {
+func (h *Core) pick(name string, i int) *record {
 	order := h.table.members(name)
 	if len(order) == 0 {
 		return nil
@@ -209,7 +209,7 @@
 }
 
 // topology dials what is wished for and closes what is not.
-func (h *Heart) topology() {
+func (h *Core) topology() {
 	if h.self.State == Leaving {
 		return
 	}
@@ -232,7 +232,7 @@
 }
 
 // release closes a link that this node opened and has no use for any more.
-func (h *Heart) release(l *link, wanted bool) {
+func (h *Core) release(l *link, wanted bool) {
 	if wanted || !l.outbound || len(h.links) == 1 {
 		l.unwanted = time.Time{}
 		return
@@ -249,7 +249,7 @@
 // tryStrangers seeks links beyond the topology: contacts that are not known
 // as members, often while there is no link at all, and the dead of the own
 // domain, who may have declared us dead too.
-func (h *Heart) tryStrangers() {
+func (h *Core) tryStrangers() {
 	alone := len(h.links) == 0
 	if !alone && h.now.Before(h.nextTry) {
 		return
@@ -283,7 +283,7 @@
 
 // hosts returns the hosts of the table in a fixed order, so that a seed
 // replays to the same run.
-func (h *Heart) hosts() []string {
+func (h *Core) hosts() []string {
 	out := make([]string, 0, len(h.table.byHost))
 	for host := range h.table.byHost {
 		out = append(out, host)
@@ -292,7 +292,7 @@
 	return out
 }
 
-func (h *Heart) dial(addr, host string, lazy bool) {
+func (h *Core) dial(addr, host string, lazy bool) {
 	d := h.dials[addr]
 	if d == nil {
 		d = &dialing{nextAt: h.now}
@@ -315,7 +315,7 @@
 	h.do(Dial{Addr: addr, Hello: h.hello(to)})
 }
 
-func (h *Heart) dialFailed(m DialFailed) {
+func (h *Core) dialFailed(m DialFailed) {
 	d := h.dials[m.Addr]
 	if d == nil {
 		return
@@ -332,7 +332,7 @@
 	}
 }
 
-func (h *Heart) linkUp(m LinkUp) {
+func (h *Core) linkUp(m LinkUp) {
 	hi := m.Hello
 	if m.Addr != "" && h.otherHost(m) {
 		h.do(Close{m.Link})
@@ -367,7 +367,7 @@
 // for a success it would be sought at once again, at each tick, and each of the
 // links would replace the last one, with all that a new link costs. That another
 // host answers also says that the old one's process is gone.
-func (h *Heart) otherHost(m LinkUp) bool {
+func (h *Core) otherHost(m LinkUp) bool {
 	answers := m.Hello.Member.Host
 	d := h.dials[m.Addr]
 	h.dials[m.Addr] = &dialing{host: answers}
@@ -382,7 +382,7 @@
 }
 
 // greeted takes in what the peer's hello says.
-func (h *Heart) greeted(l *link, hi Hello) {
+func (h *Core) greeted(l *link, hi Hello) {
 	h.reincarnate(hi.Known)
 	h.learn(l.id, hi.Member)
 	h.heardFresh(look{version: hi.Version, seen: hi.Seen, at: h.ago(hi.Fresh)})
@@ -408,14 +408,14 @@
 
 // linkReplace closes an older link to the same host: the peer opened a new
 // one because the old one is dead to it.
-func (h *Heart) linkReplace(host string) {
+func (h *Core) linkReplace(host string) {
 	if old := h.byHost[host]; old != nil {
 		h.do(Close{old.id})
 		h.drop(old)
 	}
 }
 
-func (h *Heart) linkDown(id LinkID) {
+func (h *Core) linkDown(id LinkID) {
 	l := h.links[id]
 	if l == nil {
 		return
@@ -424,7 +424,7 @@
 	h.drop(l)
 }
 
-func (h *Heart) drop(l *link) {
+func (h *Core) drop(l *link) {
 	delete(h.links, l.id)
 	if h.byHost[l.host] == l {
 		delete(h.byHost, l.host)
@@ -434,7 +434,7 @@
 }
 
 // tickLinks sends heartbeats and closes links that have gone silent.
-func (h *Heart) tickLinks() {
+func (h *Core) tickLinks() {
 	for _, l := range h.sortedLinks() {
 		if h.now.Sub(l.heardAt) > silentAfter {
 			h.do(Close{l.id})
@@ -449,7 +449,7 @@
 	}
 }
 
-func (h *Heart) sortedLinks() []*link {
+func (h *Core) sortedLinks() []*link {
 	out := make([]*link, 0, len(h.links))
 	for _, l := range h.links {
 		out = append(out, l)
--- a/briarrockd/peer/version.go
+++ b/briarrockd/peer/version.go
@@ -144,7 +144,7 @@
 }
 
 // heardVersion notes that a peer holds a version.
-func (h *Heart) heardVersion(l *link, number uint64, hash snapshot.Hash) {
+func (h *Core) heardVersion(l *link, number uint64, hash snapshot.Hash) {
 	l.version = max(l.version, number)
 	if number > h.version.number {
 		h.wantVersion(number, hash, l.id)
@@ -154,7 +154,7 @@
 }
 
 // wantVersion starts to fetch a version, or adds one more source for it.
-func (h *Heart) wantVersion(number uint64, hash snapshot.Hash, from LinkID) {
+func (h *Core) wantVersion(number uint64, hash snapshot.Hash, from LinkID) {
 	w := &h.version.want
 	if number < w.number || number <= h.version.number {
 		return
@@ -182,7 +182,7 @@
 }
 
 // ask asks the next source for the wanted version, in the end the store.
-func (h *Heart) ask() {
+func (h *Core) ask() {
 	w := &h.version.want
 	w.asked = true
 	w.askedAt = h.now
@@ -208,7 +208,7 @@
 	h.do(ReadObject{w.hash})
 }
 
-func (h *Heart) tickVersion() {
+func (h *Core) tickVersion() {
 	v := &h.version
 	if v.started.IsZero() {
 		v.started = h.now
@@ -224,7 +224,7 @@
 // askLate goes on to the next source when one has not answered in time. A
 // version that nobody can give in the end is given up: its number may have
 // come from a peer in error, and must not keep the node from the true head.
-func (h *Heart) askLate() {
+func (h *Core) askLate() {
 	w := &h.version.want
 	if !w.asked || h.now.Sub(w.askedAt) <= hedgeAfter*time.Duration(w.tries) {
 		return
@@ -241,7 +241,7 @@
 }
 
 // moreSources collects the links whose peers are known to have the version.
-func (h *Heart) moreSources() {
+func (h *Core) moreSources() {
 	w := &h.version.want
 	for _, l := range h.sortedLinks() {
 		if l.version >= w.number && len(w.sources) < maxSources {
@@ -251,7 +251,7 @@
 }
 
 // fetch answers a peer that asks for a version.
-func (h *Heart) fetch(l *link, f Fetch) {
+func (h *Core) fetch(l *link, f Fetch) {
 	h.remembered(l, f.Version)
 	b, ok := h.version.content[f.Hash]
 	if !ok {
@@ -275,7 +275,7 @@
 
 // content takes a version from a peer. What doesn't fit is dropped whole: the
 // node goes on with the version that it has and asks somebody else.
-func (h *Heart) content(l *link, f Content) {
+func (h *Core) content(l *link, f Content) {
 	if f.Push && f.Version > h.version.number && h.unpackPush(f) {
 		h.pushed(l, f)
 		return
@@ -307,16 +307,16 @@
 }
 
 // askAgain asks the same source once more, for the whole this time.
-func (h *Heart) askAgain(l *link) {
+func (h *Core) askAgain(l *link) {
 	h.version.want.sources = append(h.version.want.sources, l.id)
 	h.ask()
 }
 
-func (h *Heart) refuse(from string, number uint64, err error) {
+func (h *Core) refuse(from string, number uint64, err error) {
 	h.log(event.VersionRefused, event.Fields{event.Subject: from, "version": number, "error": err.Error()})
 }
 
-func (h *Heart) objectRead(m ObjectRead) {
+func (h *Core) objectRead(m ObjectRead) {
 	w := &h.version.want
 	if m.Hash != w.hash || w.number <= h.version.number {
 		return
@@ -329,7 +329,7 @@
 	h.arrived(w.number, m.Hash, m.Content)
 }
 
-func (h *Heart) committed(m Committed) {
+func (h *Core) committed(m Committed) {
 	h.arrived(m.Version, m.Hash, m.Content)
 	at := m.At
 	if at.IsZero() {
@@ -344,7 +344,7 @@
 
 // arrived verifies a version and, if it is whole and newer, puts it into use.
 // It tells whether the content was whole.
-func (h *Heart) arrived(number uint64, hash snapshot.Hash, b []byte) bool {
+func (h *Core) arrived(number uint64, hash snapshot.Hash, b []byte) bool {
 	s, err := snapshot.Open(b, hash)
 	if err != nil {
 		h.refuse("", number, err)
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -70,7 +70,7 @@
 // which stands for never. The age counts from the peer's sending, so the way
 // here only makes it look younger by the delay of one message, which the
 // thresholds are far above.
-func (h *Heart) ago(ms uint64) time.Time {
+func (h *Core) ago(ms uint64) time.Time {
 	if ms == 0 {
 		return time.Time{}
 	}
@@ -81,7 +81,7 @@
 //
 // The peer's version is at least the head of that time, so the word counts
 // only once this node has that version too.
-func (h *Heart) heardFresh(k look) {
+func (h *Core) heardFresh(k look) {
 	if k.at.IsZero() || k.at.After(h.now) {
 		return
 	}
@@ -95,7 +95,7 @@
 }
 
 // counts takes in a look whose version this node has.
-func (h *Heart) counts(k look) {
+func (h *Core) counts(k look) {
 	w := &h.watch
 	if k.at.After(w.freshAt) {
 		w.freshAt = k.at
@@ -118,7 +118,7 @@
 }
 
 // threshold is how old the last read may be before this node reads itself.
-func (h *Heart) threshold() time.Duration {
+func (h *Core) threshold() time.Duration {
 	i := h.position()
 	switch {
 	case i == 0 && h.leads():
@@ -134,11 +134,11 @@
 
 // Leads tells whether this node is the one that reads the head as a rule, and
 // does the mesh's other small regular work at the platform.
-func (h *Heart) Leads() bool { return h.isRoot() && h.leads() }
+func (h *Core) Leads() bool { return h.isRoot() && h.leads() }
 
 // leads tells whether this node's domain is the first of all, those in the
 // store's region before the others.
-func (h *Heart) leads() bool {
+func (h *Core) leads() bool {
 	first := ""
 	for _, name := range h.table.names() {
 		d := h.table.domains[name]
@@ -150,7 +150,7 @@
 }
 
 // tickWatch reads the head when nobody else seems to.
-func (h *Heart) tickWatch() {
+func (h *Core) tickWatch() {
 	w := &h.watch
 	if h.cfg.HeadFed || w.reading || h.now.Before(w.nextAt) || h.self.State == Leaving {
 		return
@@ -168,13 +168,13 @@
 
 // firstRead spreads the first reads of a herd that starts together, by the
 // number of nodes and this node's place among the hosts.
-func (h *Heart) firstRead() time.Duration {
+func (h *Core) firstRead() time.Duration {
 	n := time.Duration(max(h.Members(), h.cfg.Hosts))
 	whole := firstSpread * n / firstPer
 	return whole * time.Duration(score(h.self.Host)%1000) / 1000
 }
 
-func (h *Heart) headRead(m HeadRead) {
+func (h *Core) headRead(m HeadRead) {
 	w := &h.watch
 	w.reading = false
 	if m.Err != nil {
@@ -200,7 +200,7 @@
 
 // headIs notes that the head was read no earlier than at, and that this node
 // has the version that it named.
-func (h *Heart) headIs(version uint64, at time.Time) {
+func (h *Core) headIs(version uint64, at time.Time) {
 	if h.version.number < version {
 		return
 	}
@@ -209,7 +209,7 @@
 }
 
 // caughtUp lets a look count once the version that it named has arrived.
-func (h *Heart) caughtUp() {
+func (h *Core) caughtUp() {
 	k := h.watch.ahead
 	if k.version == 0 || h.version.number < k.version {
 		return
@@ -218,7 +218,7 @@
 	h.counts(k)
 }
 
-func (h *Heart) headFailed(err error) {
+func (h *Core) headFailed(err error) {
 	w := &h.watch
 	if w.fails == 0 {
 		h.log(event.StoreDown, event.Fields{"error": err.Error()})
@@ -233,7 +233,7 @@
 
 // headAhead fetches a version that the head names: from a peer that is known
 // to have it, or else from the store.
-func (h *Heart) headAhead(number uint64, hash snapshot.Hash) {
+func (h *Core) headAhead(number uint64, hash snapshot.Hash) {
 	for _, l := range h.sortedLinks() {
 		if l.version >= number {
 			h.wantVersion(number, hash, l.id)
