peer: name polls of the platform and the watch role as such

look, looked, tellLook, lookers and the duty become poll, polled, broadcastPoll, pollers and the watch role; duty.go is watchrole.go. Names and comments only.

--- a/briarrockd/node/platform.go
+++ b/briarrockd/node/platform.go
@@ -121,7 +121,7 @@
 }
 
 // Failed says that a look had no answer.
-func (f *Follow) Failed() { f.tell(peer.LookFailed{}) }
+func (f *Follow) Failed() { f.tell(peer.PollFailed{}) }
 
-// Looked says that a look found nothing newer than what was told.
-func (f *Follow) Looked(l peer.Looked) { f.tell(l) }
+// Polled says that a look found nothing newer than what was told.
+func (f *Follow) Polled(l peer.Polled) { f.tell(l) }
--- a/briarrockd/peer/contact.go
+++ b/briarrockd/peer/contact.go
@@ -150,6 +150,6 @@
 	}
 	// Callers wait for a node that has just been started, so it doesn't wait for
 	// the next tick.
-	h.tickDuty()
+	h.updateWatchRole()
 	h.tryStrangers()
 }
--- a/briarrockd/peer/contact_test.go
+++ b/briarrockd/peer/contact_test.go
@@ -82,7 +82,7 @@
 		h.Step(now, LinkUp{Link: 1, Hello: Hello{Member: member("b"), Version: 4, Hash: version.Hash}, Addr: "b:1"})
 		h.Step(now, Received{1, version})
 		if failed {
-			h.Step(now, LookFailed{})
+			h.Step(now, PollFailed{})
 		}
 		_, cmds := ticks(h, now, metAfter+confirmWithin+2*TickEvery)
 		c.Check(len(used(cmds)) > 0, qt.Equals, failed)
--- a/briarrockd/peer/floor.go
+++ b/briarrockd/peer/floor.go
@@ -72,7 +72,7 @@
 	h.caughtUp()
 	h.becomeReady()
 	if !v.ready {
-		h.tickDuty() // callers wait for the poll that confirms the version
+		h.updateWatchRole() // callers wait for the poll that confirms the version
 	}
 	h.serve()
 	h.reportChanged()
@@ -170,7 +170,7 @@
 // on one host. A head that was read after this process started is at least as
 // new as anything that it ever served, since versions are served only after
 // they are the head. Where the store can't be reached, the node waits for its
-// domain's peers and never goes below what they saw it use: once a look has failed,
+// domain's peers and never goes below what they saw it use: once a poll has failed,
 // until it has met all of those who would remember, or else for serveAfter.
 func (h *Core) becomeReady() {
 	v := &h.version
@@ -183,6 +183,6 @@
 		return
 	}
 	v.ready = true
-	h.watch.duty.heardAt = later(h.watch.duty.heardAt, h.now)
+	h.watch.role.heardAt = later(h.watch.role.heardAt, h.now)
 	h.serve()
 }
--- a/briarrockd/peer/frame.go
+++ b/briarrockd/peer/frame.go
@@ -52,8 +52,8 @@
 	Seen    uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Fresh floods through the mesh: one look at the platform, how long ago it was,
-// and which version was the newest then. Host, Incarnation and Look name it, so
+// Fresh floods through the mesh: one poll at the platform, how long ago it was,
+// and which version was the newest then. Host, Incarnation and Serial name it, so
 // that each node passes it on once.
 type Fresh struct {
 	Version     uint64 `cbor:"1,keyasint,omitempty"`
@@ -61,7 +61,7 @@
 	Age         uint64 `cbor:"3,keyasint"`           // milliseconds
 	Host        string `cbor:"4,keyasint"`
 	Incarnation uint64 `cbor:"5,keyasint"`
-	Look        uint64 `cbor:"6,keyasint"` // counts the looks of this incarnation
+	Serial      uint64 `cbor:"6,keyasint"` // counts the notices of this incarnation
 	// Try is set where a node says that it begins to poll; it has no answer yet.
 	Try bool `cbor:"7,keyasint,omitempty"`
 	// Region is that of the host, and Delay the milliseconds of its way to the
--- a/briarrockd/peer/gossip.go
+++ b/briarrockd/peer/gossip.go
@@ -11,7 +11,7 @@
 // are compared: news that is on its way makes two sides differ for a moment.
 const repairAfter = 2
 
-// sweepEvery is how often tombstones are looked over.
+// sweepEvery is how often tombstones are polled over.
 const sweepEvery = 5 * time.Second
 
 // reincarnate makes this process younger than any that a peer remembers.
@@ -153,7 +153,7 @@
 }
 
 func (h *Core) beat(l *link, f Beat) {
-	h.heardFresh(look{version: f.Version, seen: f.Seen, at: h.ago(f.Fresh)})
+	h.heardFresh(poll{version: f.Version, seen: f.Seen, at: h.ago(f.Fresh)})
 	h.sawUse(l, f.Version)
 	h.heardOutside(l, f.Version)
 	l.version = max(l.version, f.Version)
--- a/briarrockd/peer/message.go
+++ b/briarrockd/peer/message.go
@@ -67,8 +67,8 @@
 	Near int
 }
 
-// LookFailed says that this node's own look at the platform had no answer.
-type LookFailed struct{}
+// PollFailed says that this node's own poll at the platform had no answer.
+type PollFailed struct{}
 
 // Committed says that a version is in the head: this node has put it there, or
 // its watch has seen it.
@@ -76,14 +76,14 @@
 	Version uint64
 	Hash    snapshot.Hash
 	Content []byte
-	// Seen and At are those of the look that found it, as in Looked; 0 if this
+	// Seen and At are those of the poll that found it, as in Polled; 0 if this
 	// node has put it there.
 	Seen uint64
 	At   time.Time
 }
 
-// Looked says that this node's watch has found nothing newer than it has told.
-type Looked struct {
+// Polled says that this node's watch has found nothing newer than it has told.
+type Polled struct {
 	// Seen is the position in the platform's record of changes up to which
 	// there was nothing else.
 	Seen uint64
@@ -114,9 +114,9 @@
 func (HeadRead) msg()       {}
 func (ObjectRead) msg()     {}
 func (ContactsRead) msg()   {}
-func (LookFailed) msg()     {}
+func (PollFailed) msg()     {}
 func (Committed) msg()      {}
-func (Looked) msg()         {}
+func (Polled) msg()         {}
 func (Crashed) msg()        {}
 func (Leave) msg()          {}
 
@@ -148,15 +148,15 @@
 // ReadHead asks for the head row; the answer is HeadRead.
 type ReadHead struct{}
 
-// Watch says whether this node is to look at the platform from now on, and how.
+// Watch says whether this node is to poll at the platform from now on, and how.
 type Watch struct {
 	On bool
 	// Seen is the position in the platform's record of changes up to which this
 	// node holds everything; 0 if it doesn't know.
 	Seen uint64
-	// Wait is how long one look waits for a change; 0 for an answer at once.
+	// Wait is how long one poll waits for a change; 0 for an answer at once.
 	Wait time.Duration
-	// Spare is set where this node looks only since nobody else seems to.
+	// Spare is set where this node polls only since nobody else seems to.
 	Spare bool
 }
 
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -94,8 +94,8 @@
 	// there yet to be found.
 	Bootstrap bool
 	// HeadFed is set where the platform's adapter does the reading: the Core
-	// says who is to look (Watch) and is told what was found (Committed,
-	// Looked). It then reads nothing itself.
+	// says who is to poll (Watch) and is told what was found (Committed,
+	// Polled). It then reads nothing itself.
 	HeadFed bool
 }
 
@@ -213,10 +213,10 @@
 		h.contactsRead(m)
 	case Committed:
 		h.committed(m)
-	case Looked:
-		h.looked(m)
-	case LookFailed:
-		h.lookFailed()
+	case Polled:
+		h.polled(m)
+	case PollFailed:
+		h.pollFailed()
 	case Crashed:
 		h.crashed(m)
 	case Leave:
@@ -243,7 +243,7 @@
 	h.tickMembers()
 	h.tickVersion()
 	h.tickWatch()
-	h.tickDuty()
+	h.updateWatchRole()
 	h.tickContacts()
 	h.tickReport()
 	h.tickHolds()
--- a/briarrockd/peer/polls_test.go
+++ b/briarrockd/peer/polls_test.go
@@ -66,7 +66,7 @@
 	f.polls++
 	if !f.storeReachable(x) {
 		f.in(pollFails, func() {
-			f.tellProcess(x, p, LookFailed{})
+			f.tellProcess(x, p, PollFailed{})
 			f.in(pollAgain, func() { f.next(x, p) })
 		})
 		return
@@ -80,12 +80,12 @@
 	f.in(delay+wait, func() {
 		switch {
 		case !f.storeReachable(x):
-			f.tellProcess(x, p, LookFailed{})
+			f.tellProcess(x, p, PollFailed{})
 			f.next(x, p)
 		case f.newest() > p.told:
 			f.found(x, p)
 		default:
-			f.tellProcess(x, p, Looked{Seen: f.newest(), At: time.Now().Add(-delay), Delay: delay})
+			f.tellProcess(x, p, Polled{Seen: f.newest(), At: time.Now().Add(-delay), Delay: delay})
 			f.next(x, p)
 		}
 	})
--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -385,7 +385,7 @@
 func (h *Core) greeted(l *link, hi Hello) {
 	h.reincarnate(hi.Known)
 	h.learn(l.id, hi.Member)
-	h.heardFresh(look{version: hi.Version, seen: hi.Seen, at: h.ago(hi.Fresh)})
+	h.heardFresh(poll{version: hi.Version, seen: hi.Seen, at: h.ago(hi.Fresh)})
 	h.raiseFloor(hi.Floor)
 	h.raiseFloor(hi.Domain)
 	h.sawUse(l, hi.Version)
--- a/briarrockd/peer/version.go
+++ b/briarrockd/peer/version.go
@@ -338,7 +338,7 @@
 	h.watch.seen = max(h.watch.seen, m.Seen)
 	h.headIs(m.Version, at)
 	if m.Seen > 0 {
-		h.tellLook(at)
+		h.broadcastPoll(at)
 	}
 }
 
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -39,12 +39,12 @@
 	freshAt time.Time
 	// own is set once a read of this node itself has counted.
 	own bool
-	// ahead is a look that named a version which has not arrived.
-	ahead look
+	// ahead is a poll that named a version which has not arrived.
+	ahead poll
 	// seen is the position in the platform's record of changes up to which this
 	// node holds everything; 0 where that is not known or not used.
 	seen    uint64
-	duty    duty
+	role    role
 	nextAt  time.Time
 	reading bool
 	readAt  time.Time
@@ -55,13 +55,13 @@
 	return watch{startedAt: now, nextAt: now.Add(spread)}
 }
 
-// look is one look at the head, by this node or another one.
-type look struct {
+// poll is one poll at the head, by this node or another one.
+type poll struct {
 	version uint64 // the newest version at that time
 	seen    uint64 // position in the platform's record of changes
 	at      time.Time
 	own     bool
-	// told is when a freshness notice of the look came; zero for one that is a part
+	// told is when a freshness notice of the poll came; zero for one that is a part
 	// of what a peer knows.
 	told time.Time
 }
@@ -77,11 +77,11 @@
 	return h.now.Add(-time.Duration(ms) * time.Millisecond)
 }
 
-// heardFresh takes a peer's word of a look at the head.
+// heardFresh takes a peer's word of a poll at the head.
 //
 // The peer's version is at least the head of that time, so the word counts
 // only once this node has that version too.
-func (h *Core) heardFresh(k look) {
+func (h *Core) heardFresh(k poll) {
 	if k.at.IsZero() || k.at.After(h.now) {
 		return
 	}
@@ -94,8 +94,8 @@
 	h.counts(k)
 }
 
-// counts takes in a look whose version this node has.
-func (h *Core) counts(k look) {
+// counts takes in a poll whose version this node has.
+func (h *Core) counts(k poll) {
 	w := &h.watch
 	if k.at.After(w.freshAt) {
 		w.freshAt = k.at
@@ -104,10 +104,10 @@
 	if k.own {
 		w.own = true
 		w.fails = 0
-		w.duty.ownAt = later(w.duty.ownAt, k.at)
+		w.role.ownAt = later(w.role.ownAt, k.at)
 		return
 	}
-	w.duty.heardAt = later(w.duty.heardAt, k.told)
+	w.role.heardAt = later(w.role.heardAt, k.told)
 }
 
 func later(a, b time.Time) time.Time {
@@ -191,7 +191,7 @@
 	}
 	h.version.distrust(m.Version)
 	if m.Version > h.version.number {
-		w.ahead = look{version: m.Version, at: w.readAt, own: true}
+		w.ahead = poll{version: m.Version, at: w.readAt, own: true}
 		h.headAhead(m.Version, m.Hash)
 		return
 	}
@@ -204,17 +204,17 @@
 	if h.version.number < version {
 		return
 	}
-	h.counts(look{version: version, at: at, own: true})
+	h.counts(poll{version: version, at: at, own: true})
 	h.becomeReady()
 }
 
-// caughtUp lets a look count once the version that it named has arrived.
+// caughtUp lets a poll count once the version that it named has arrived.
 func (h *Core) caughtUp() {
 	k := h.watch.ahead
 	if k.version == 0 || h.version.number < k.version {
 		return
 	}
-	h.watch.ahead = look{}
+	h.watch.ahead = poll{}
 	h.counts(k)
 }
 
--- a/briarrockd/peer/duty.go
+++ b/briarrockd/peer/watchrole.go
@@ -10,9 +10,10 @@
 // In a large region only its carriers watch, and of several regions only those that
 // are near the platform: calls to it then don't grow with the hosts, and a change
 // crosses between regions once, as a difference. The others get versions from their
-// peers, and freshness notices that say how long ago the platform was last polled. Any node polls once its last freshness notice expires, so the role needs no
-// handover: losing all watchers costs lapseAfter, well within the time in which a
-// change must be in force.
+// peers, and freshness notices that say how long ago the platform was last polled. Any
+// node polls once its last freshness notice expires, so the role needs no handover:
+// losing all watchers costs lapseAfter, well within the time in which a change must be
+// in force.
 const (
 	// wholeDomain is the size of a domain up to which all of its members watch, each
 	// for itself, if no domain of the region is larger.
@@ -36,7 +37,7 @@
 	// poll spare the others.
 	lapseAfter  = 1500 * time.Millisecond
 	lapseSpread = 600 * time.Millisecond
-	// lapseKeep is how long a node that has begun to look goes on, so that two
+	// lapseKeep is how long a node that has begun to poll goes on, so that two
 	// of them don't make each other stop and lapse again in turns.
 	lapseKeep = 5 * time.Second
 	// spareEvery is the mean time between the polls of all spare nodes
@@ -60,48 +61,48 @@
 	// than the usual one.
 	nearer    = 3
 	delayPart = 10
-	// maxLookers bounds the hosts whose looks are told apart.
-	maxLookers = 256
+	// maxPollers bounds the hosts whose polls are told apart.
+	maxPollers = 256
 	// fetchEvery is the least time between two versions that are fetched from
 	// peers: in a storm of changes a small node would do nothing else.
 	fetchEvery = 250 * time.Millisecond
 )
 
-// duty is this node's part in watching the platform.
-type duty struct {
+// role is this node's part in watching the platform.
+type role struct {
 	now Watch
 	// told is set once a Watch has been given out.
 	told bool
-	// until is how long a node that looks since nobody else did goes on.
+	// until is how long a node that polls since nobody else did goes on.
 	until time.Time
-	// heardAt is the time of the newest look that peers have told of, ownAt
-	// that of this node's own newest.
+	// heardAt is when the newest freshness notice came, ownAt the time of this
+	// node's own newest poll.
 	heardAt time.Time
 	ownAt   time.Time
 	// notices counts this node's own freshness notices, announcedAt is the time of
 	// the newest.
 	notices     uint64
 	announcedAt time.Time
-	// triedAt is when a spare node last began to poll, or this node's
-	// own poll last failed, and pause how long after that this node may.
+	// triedAt is when a spare node last began to poll, or this node's own poll last
+	// failed, and pause how long after that this node may begin.
 	triedAt time.Time
 	pause   time.Duration
 	// delay is this node's way to the platform and back, as a rule; 0 if unknown.
 	delay time.Duration
 	// nearAt is when a notice last came from a region that is much nearer to it.
 	nearAt time.Time
-	// lookers is the newest look of each host that was heard of.
-	lookers map[string]lookName
+	// pollers is the newest notice of each host.
+	pollers map[string]noticeName
 }
 
-// lookName tells the notices of one host apart; later ones are greater.
-type lookName struct{ incarnation, look uint64 }
+// noticeName tells the notices of one host apart; later ones are greater.
+type noticeName struct{ incarnation, poll uint64 }
 
-func (a lookName) after(b lookName) bool {
+func (a noticeName) after(b noticeName) bool {
 	if a.incarnation != b.incarnation {
 		return a.incarnation > b.incarnation
 	}
-	return a.look > b.look
+	return a.poll > b.poll
 }
 
 // allWatch tells whether each node watches for itself: no domain of the region is
@@ -118,31 +119,31 @@
 // watches tells whether this node is one of those that watch for a large region,
 // while no region nearer to the platform does.
 func (h *Core) watches() bool {
-	if h.now.Sub(h.watch.duty.nearAt) <= lapseAfter {
+	if h.now.Sub(h.watch.role.nearAt) <= lapseAfter {
 		return false
 	}
 	return slices.ContainsFunc(h.carriers(h.self.Region), func(r *record) bool { return r.Host == h.self.Host })
 }
 
-// tickDuty decides whether this node is to look at the platform, and how.
-func (h *Core) tickDuty() {
+// updateWatchRole decides whether this node is to poll at the platform, and how.
+func (h *Core) updateWatchRole() {
 	if !h.cfg.HeadFed {
 		return
 	}
-	w := h.dutyNow()
+	w := h.watchRole()
 	h.announce()
-	d := &h.watch.duty
+	d := &h.watch.role
 	if d.told && w.On == d.now.On && w.Wait == d.now.Wait && w.Spare == d.now.Spare {
 		return
 	}
 	if w.On && w.Spare && !(d.now.On && d.now.Spare) {
-		h.tellTry()
+		h.broadcastTry()
 	}
 	d.now, d.told = w, true
 	h.do(w)
 }
 
-func (h *Core) dutyNow() Watch {
+func (h *Core) watchRole() Watch {
 	w := Watch{On: true, Seen: h.watch.seen}
 	switch {
 	case !h.version.ready:
@@ -154,8 +155,8 @@
 	default:
 		w.Spare = true
 		w.On = h.lapsed()
-		if h.now.Sub(h.watch.duty.ownAt) <= announceFor {
-			// The first look is answered at once, and spares the others theirs.
+		if h.now.Sub(h.watch.role.ownAt) <= announceFor {
+			// The first poll is answered at once, and spares the others theirs.
 			w.Wait = watchShort
 		}
 	}
@@ -187,10 +188,10 @@
 // tried, this node waits for its turn: a poll that succeeds makes its own needless,
 // and one that fails most likely fails for all.
 func (h *Core) lapsed() bool {
-	d := &h.watch.duty
+	d := &h.watch.role
 	n := len(h.table.members(h.self.Domain))
 	spread := lapseSpread * time.Duration(max(h.position(), 0)) / time.Duration(n+1)
-	// A version that has come says as well that somebody looks.
+	// A version that has come says as well that somebody polls.
 	silent := h.now.Sub(later(d.heardAt, h.version.stagedAt)) > lapseAfter+spread
 	if silent && h.now.Sub(d.triedAt) > d.pause {
 		d.until = h.now.Add(lapseKeep)
@@ -198,37 +199,37 @@
 	return h.now.Before(d.until)
 }
 
-// lookFailed notes that this node's own poll had no answer. A spare node leaves the
+// pollFailed notes that this node's own poll had no answer. A spare node leaves the
 // next try to the others.
-func (h *Core) lookFailed() {
+func (h *Core) pollFailed() {
 	h.watch.fails++
-	d := &h.watch.duty
+	d := &h.watch.role
 	if !d.now.Spare {
 		return
 	}
 	d.until = time.Time{}
 	h.tried()
-	h.tickDuty()
+	h.updateWatchRole()
 }
 
 // tried draws the pause after a poll by a spare node, here or elsewhere.
 func (h *Core) tried() {
-	d := &h.watch.duty
+	d := &h.watch.role
 	d.triedAt, d.pause = h.now, h.jitter(spareEvery*time.Duration(h.Members()))
 }
 
-// looked takes this node's own look at the platform, which found nothing newer
+// polled takes this node's own poll at the platform, which found nothing newer
 // than what it has told.
-func (h *Core) looked(m Looked) {
+func (h *Core) polled(m Polled) {
 	h.watch.seen = max(h.watch.seen, m.Seen)
-	h.watch.duty.measured(m.Delay)
+	h.watch.role.measured(m.Delay)
 	h.headIs(h.version.number, m.At)
-	h.tellLook(m.At)
+	h.broadcastPoll(m.At)
 }
 
 // measured takes the delay of one poll. The least of late counts: what it is above
 // that was spent in queues.
-func (d *duty) measured(delay time.Duration) {
+func (d *role) measured(delay time.Duration) {
 	switch {
 	case delay <= 0:
 	case d.delay == 0 || delay < d.delay:
@@ -238,69 +239,69 @@
 	}
 }
 
-// tellLook tells the other nodes of this node's own look.
-func (h *Core) tellLook(at time.Time) {
+// broadcastPoll tells the other nodes of this node's own poll.
+func (h *Core) broadcastPoll(at time.Time) {
 	if !h.cfg.HeadFed || h.allWatch() {
 		return
 	}
-	h.watch.duty.announcedAt = h.now
+	h.watch.role.announcedAt = h.now
 	f := h.ownNotice()
 	f.Version, f.Seen, f.Age = h.version.number, h.watch.seen, age(h.now, at)
-	f.Delay = uint64(h.watch.duty.delay.Milliseconds())
-	h.passFresh(0, f)
+	f.Delay = uint64(h.watch.role.delay.Milliseconds())
+	h.floodFresh(0, f)
 }
 
 // announce tells the other nodes that this node still watches, while its poll waits.
 func (h *Core) announce() {
-	d := &h.watch.duty
+	d := &h.watch.role
 	waits := d.now.On && d.now.Wait > 0 && h.watch.fails == 0
 	if waits && h.now.Sub(d.announcedAt) >= announceEvery && h.now.Sub(d.ownAt) <= announceFor {
-		h.tellLook(d.ownAt)
+		h.broadcastPoll(d.ownAt)
 	}
 }
 
-// tellTry tells the other nodes that this node begins to poll since nobody else seems to.
-func (h *Core) tellTry() {
+// broadcastTry tells the other nodes that this node begins to poll since nobody else seems to.
+func (h *Core) broadcastTry() {
 	f := h.ownNotice()
 	f.Try = true
-	h.passFresh(0, f)
+	h.floodFresh(0, f)
 }
 
 func (h *Core) ownNotice() Fresh {
-	d := &h.watch.duty
+	d := &h.watch.role
 	d.notices++
-	return Fresh{Host: h.self.Host, Incarnation: h.self.Incarnation, Look: d.notices, Region: h.self.Region}
+	return Fresh{Host: h.self.Host, Incarnation: h.self.Incarnation, Serial: d.notices, Region: h.self.Region}
 }
 
-// fresh takes a peer's notice of a look at the platform, and passes it on.
+// fresh takes a peer's notice of a poll at the platform, and passes it on.
 //
-// Each look counts once. Its age doesn't grow on its way over a link; if a look
+// Each poll counts once. Its age doesn't grow on its way over a link; if a poll
 // could come back to a node by another way it would seem younger each time, and
-// over slow links a region would go on telling itself that somebody looks long
+// over slow links a region would go on telling itself that somebody polls long
 // after nobody did.
 func (h *Core) fresh(l *link, f Fresh) {
-	d := &h.watch.duty
-	name := lookName{f.Incarnation, f.Look}
-	last, known := d.lookers[f.Host]
+	d := &h.watch.role
+	name := noticeName{f.Incarnation, f.Serial}
+	last, known := d.pollers[f.Host]
 	if f.Host == h.self.Host || (known && !name.after(last)) {
 		return
 	}
-	if d.lookers == nil || len(d.lookers) >= maxLookers {
-		d.lookers = make(map[string]lookName)
+	if d.pollers == nil || len(d.pollers) >= maxPollers {
+		d.pollers = make(map[string]noticeName)
 	}
-	d.lookers[f.Host] = name
+	d.pollers[f.Host] = name
 	if f.Region != h.self.Region && f.Delay > 0 && nearer*time.Duration(f.Delay)*time.Millisecond < d.delay {
 		d.nearAt = h.now
 	}
 	if f.Try {
 		h.tried()
 	} else {
-		h.heardFresh(look{version: f.Version, seen: f.Seen, at: h.ago(f.Age), told: h.now})
+		h.heardFresh(poll{version: f.Version, seen: f.Seen, at: h.ago(f.Age), told: h.now})
 	}
-	h.passFresh(l.id, f)
+	h.floodFresh(l.id, f)
 }
 
-func (h *Core) passFresh(from LinkID, f Fresh) {
+func (h *Core) floodFresh(from LinkID, f Fresh) {
 	for _, l := range h.sortedLinks() {
 		if l.id != from && !l.lazy && !h.restricted(l) {
 			h.send(l, f)
@@ -313,7 +314,7 @@
 	switch {
 	case !h.cfg.HeadFed || !h.version.ready:
 		return h.now
-	case h.watch.duty.now.On:
+	case h.watch.role.now.On:
 		// This node's own watch has most likely seen the version too. A peer is
 		// asked only if it has not come by then.
 		return h.now.Add(hedgeAfter)
--- a/briarrockd/peer/duty_test.go
+++ b/briarrockd/peer/watchrole_test.go
@@ -37,11 +37,11 @@
 	return h, now
 }
 
-// beats steps a Core while its first peer tells of looks at the platform.
+// beats steps a Core while its first peer tells of polls at the platform.
 func beats(h *Core, now time.Time, d time.Duration, f Fresh) (time.Time, []Cmd) {
 	var out []Cmd
 	for end := now.Add(d); now.Before(end); {
-		f.Look++
+		f.Serial++
 		out = append(out, h.Step(now, Received{1, f})...)
 		var cmds []Cmd
 		now, cmds = ticks(h, now, announceEvery)
@@ -50,7 +50,7 @@
 	return now, out
 }
 
-// told is word of a look 20 ms ago by a process that is new each time.
+// told is word of a poll 20 ms ago by a process that is new each time.
 func told(version, seen uint64) Fresh {
 	return Fresh{Version: version, Seen: seen, Age: 20, Host: "watcher", Incarnation: seen}
 }
@@ -66,13 +66,13 @@
 	return last, found
 }
 
-// TestDuty takes one node of a large domain from hearing of others' looks, to
+// TestDuty takes one node of a large domain from hearing of others' polls, to
 // hearing of none, and back.
 //
 // While the watchers are there it asks the platform for nothing. When both are
-// gone no change would reach it, and no error would say so; it then looks by
+// gone no change would reach it, and no error would say so; it then polls by
 // itself soon enough for a change to be in force in time, from the position that
-// it has, so that only what is new is read. The first look is answered at once,
+// it has, so that only what is new is read. The first poll is answered at once,
 // so that the rest of the domain hears of it before they lapse as well.
 func TestDuty(t *testing.T) {
 	c := qt.New(t)
@@ -90,7 +90,7 @@
 	}
 	c.Check(now.Sub(quiet) >= lapseAfter-announceEvery, qt.IsTrue)
 	c.Check(w, qt.Equals, Watch{On: true, Seen: 40, Spare: true})
-	h.Step(now, Looked{Seen: 41, At: now})
+	h.Step(now, Polled{Seen: 41, At: now})
 	now, cmds = ticks(h, now, TickEvery)
 	w, _ = watchOf(cmds)
 	c.Check(w, qt.Equals, Watch{On: true, Seen: 41, Wait: watchShort, Spare: true})
@@ -103,7 +103,7 @@
 
 // TestDutyBehind has peers tell of a version that this node has not got.
 //
-// Their looks say nothing of the version that it serves: counted at once they
+// Their polls say nothing of the version that it serves: counted at once they
 // would keep it from looking by itself while it is behind. They count when the
 // version has come.
 func TestDutyBehind(t *testing.T) {
@@ -141,7 +141,7 @@
 
 // TestDutyStart starts a node among peers that serve already.
 //
-// It takes the version from them at once, and confirms by one small look at the
+// It takes the version from them at once, and confirms by one small poll at the
 // platform, asked for in the same step, that it is the newest, before it serves; without peers it reads the
 // whole by itself, though not before they have had a moment to answer.
 func TestDutyStart(t *testing.T) {
@@ -158,7 +158,7 @@
 	w, _ = watchOf(cmds)
 	c.Check(w, qt.Equals, Watch{On: true, Seen: 30})
 	c.Check(h.Ready(), qt.IsFalse)
-	h.Step(now, Looked{Seen: 31, At: now})
+	h.Step(now, Polled{Seen: 31, At: now})
 	c.Check(h.Ready(), qt.IsTrue)
 
 	h = New(Config{Self: member("a"), HeadFed: true}, rand.New(rand.NewPCG(1, 1)), now)
@@ -167,17 +167,17 @@
 	c.Check(w, qt.Equals, Watch{On: true})
 }
 
-// TestDutyEcho gives a node the same look again and again, from another peer and
+// TestDutyEcho gives a node the same poll again and again, from another peer and
 // looking as young as the first time.
 //
-// That is how a look comes back over slow links. It counts once: otherwise a
+// That is how a poll comes back over slow links. It counts once: otherwise a
 // domain whose watchers are gone would go on believing for good that somebody
-// looks, and serve an old version with no error anywhere.
+// polls, and serve an old version with no error anywhere.
 func TestDutyEcho(t *testing.T) {
 	c := qt.New(t)
 	h, now := large(c, 25)
 	f := told(1, 40)
-	f.Look = 7
+	f.Serial = 7
 	cmds := h.Step(now, Received{1, f})
 	c.Check(count[Send](cmds) > 0, qt.IsTrue)
 	quiet := now
