peer: rename membership, links and versions to the field's terms

buryDead, noteNews, learn, wishes, tryStrangers, metAll, askLate, distrust and their kin become removeDead, queueUpdate, merge, desiredLinks, rejoin, joined, retryRequest and quarantine; bounds begin with max. Names and comments only.

--- a/briarrockd/peer/contact.go
+++ b/briarrockd/peer/contact.go
@@ -17,14 +17,14 @@
 	// contactsEvery is how often the root of a domain looks whether the row
 	// still names the right addresses, and writes it if not.
 	contactsEvery = 5 * time.Second
-	// aloneFor is about how long a node is without any link before it reads the
+	// isolatedAfter is about how long a node is without any link before it reads the
 	// rows: all of its contacts would have answered by then. One that was given no
 	// contacts reads them at once. Until it knows the others it can serve nobody.
 	// contactsAgain is how long after that it reads them again, at first and at
 	// most.
-	aloneFor          = 300 * time.Millisecond
-	contactsAgain     = 2200 * time.Millisecond
-	contactsAgainMost = 20 * time.Second
+	isolatedAfter    = 300 * time.Millisecond
+	contactsAgain    = 2200 * time.Millisecond
+	maxContactsAgain = 20 * time.Second
 	// bootSpread is the time over which nodes that all start for the first time
 	// spread their reads: the first of them finds nothing and leaves its
 	// address, and most of the others find that. Of 83 that read within 0.3 s
@@ -70,7 +70,7 @@
 	if h.stored.readFrom.IsZero() {
 		h.stored.readFrom = h.now.Add(h.readPause())
 	}
-	again := min(contactsAgain<<min(h.stored.reads, 3), contactsAgainMost)
+	again := min(contactsAgain<<min(h.stored.reads, 3), maxContactsAgain)
 	if h.now.Before(h.stored.readFrom) || h.now.Sub(h.stored.readAt) < again {
 		return
 	}
@@ -90,7 +90,7 @@
 		spread = bootSpread
 	}
 	if len(h.cfg.Contacts) > 0 {
-		pause = aloneFor
+		pause = isolatedAfter
 	}
 	return pause + h.jitter(spread)
 }
@@ -151,5 +151,5 @@
 	// Callers wait for a node that has just been started, so it doesn't wait for
 	// the next tick.
 	h.updateWatchRole()
-	h.tryStrangers()
+	h.rejoin()
 }
--- a/briarrockd/peer/contact_test.go
+++ b/briarrockd/peer/contact_test.go
@@ -18,7 +18,7 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	h := New(Config{Self: member("a"), HeadFed: true, Contacts: []string{"gone:1", "gone:2"}}, rand.New(rand.NewPCG(1, 1)), now)
-	now, cmds := ticks(h, now, aloneFor+joinSpread+2*TickEvery)
+	now, cmds := ticks(h, now, isolatedAfter+joinSpread+2*TickEvery)
 	c.Check(count[ReadContacts](cmds), qt.Equals, 1)
 	cmds = h.Step(now, ContactsRead{Addrs: []string{"b:1", "c:1", "d:1"}})
 	_, more := ticks(h, now, time.Second)
@@ -84,7 +84,7 @@
 		if failed {
 			h.Step(now, PollFailed{})
 		}
-		_, cmds := ticks(h, now, metAfter+confirmWithin+2*TickEvery)
+		_, cmds := ticks(h, now, joinedAfter+confirmWithin+2*TickEvery)
 		c.Check(len(used(cmds)) > 0, qt.Equals, failed)
 	}
 }
--- a/briarrockd/peer/floor.go
+++ b/briarrockd/peer/floor.go
@@ -22,19 +22,19 @@
 	h.version.floor = max(h.version.floor, floor)
 }
 
-// heardOutside notes that a peer of another domain holds a version, and so
+// remoteFloor notes that a peer of another domain holds a version, and so
 // remembers that this domain uses it.
-func (h *Core) heardOutside(l *link, version uint64) {
+func (h *Core) remoteFloor(l *link, version uint64) {
 	if l.domain == h.self.Domain || version == 0 {
 		return
 	}
-	h.knownOutside(l.id, min(version, max(h.version.number, h.version.outside)))
+	h.observeFloor(l.id, min(version, max(h.version.number, h.version.outside)))
 }
 
-// knownOutside takes in that other domains know that this one uses a version,
+// observeFloor takes in that other domains know that this one uses a version,
 // and passes it on within the domain. A node that has not served yet takes it
 // for its floor.
-func (h *Core) knownOutside(from LinkID, version uint64) {
+func (h *Core) observeFloor(from LinkID, version uint64) {
 	v := &h.version
 	if version <= v.outside {
 		return
@@ -131,15 +131,15 @@
 	h.serve()
 }
 
-// metAll tells whether this node has been linked for a while with everybody who
+// joined tells whether this node has been linked for a while with everybody who
 // remembers what it served, while the platform can't be asked: its neighbours in
 // the domain, and one member of each other domain of the region. A version is
 // served only once one of them holds it.
-func (h *Core) metAll() bool {
+func (h *Core) joined() bool {
 	if len(h.links) == 0 || h.watch.fails == 0 {
 		return false
 	}
-	long := func(l *link) bool { return l != nil && h.now.Sub(l.openedAt) >= metAfter }
+	long := func(l *link) bool { return l != nil && h.now.Sub(l.openedAt) >= joinedAfter }
 	for _, r := range h.neighbours() {
 		if !long(h.byHost[r.Host]) {
 			return false
@@ -179,7 +179,7 @@
 	}
 	fresh := h.watch.freshAt.After(h.watch.startedAt.Add(freshMargin)) || h.watch.own
 	waited := !v.started.IsZero() && h.now.Sub(v.started) >= serveAfter
-	if !fresh && !h.metAll() && (!waited || !v.peered) {
+	if !fresh && !h.joined() && (!waited || !v.peered) {
 		return
 	}
 	v.ready = true
--- a/briarrockd/peer/gossip.go
+++ b/briarrockd/peer/gossip.go
@@ -31,7 +31,7 @@
 
 func (h *Core) announceSelf() {
 	if h.table.put(h.now, h.self) {
-		h.noteNews(h.self.Host, 0)
+		h.queueUpdate(h.self.Host, 0)
 	}
 }
 
@@ -42,26 +42,26 @@
 	h.self.Targets = targets
 	h.self.Seq++
 	h.announceSelf()
-	h.flushNews()
+	h.flushUpdates()
 }
 
 func (h *Core) leave() {
 	h.self.State = Leaving
 	h.self.Seq++
 	h.announceSelf()
-	h.flushNews()
+	h.flushUpdates()
 }
 
-func (h *Core) noteNews(host string, from LinkID) {
-	h.news[host] = true
-	h.newsFrom[host] = from
+func (h *Core) queueUpdate(host string, from LinkID) {
+	h.updates[host] = true
+	h.updateFrom[host] = from
 	h.changed = true
 }
 
-// learn takes one record from a peer.
-func (h *Core) learn(from LinkID, m Member) {
+// merge takes one record from a peer.
+func (h *Core) merge(from LinkID, m Member) {
 	if m.Host == h.self.Host {
-		h.learnSelf(m)
+		h.refuteSelf(m)
 		return
 	}
 	old := h.table.byHost[m.Host]
@@ -72,12 +72,12 @@
 	if !m.live() && wasLive {
 		delete(h.lost, m.Host)
 		delete(h.version.seen, m.Host)
-		h.logGone(m)
+		h.logDeparture(m)
 	}
-	h.noteNews(m.Host, from)
+	h.queueUpdate(m.Host, from)
 }
 
-func (h *Core) logGone(m Member) {
+func (h *Core) logDeparture(m Member) {
 	e := event.MemberDead
 	if m.State == Leaving {
 		e = event.MemberLeft
@@ -85,10 +85,10 @@
 	h.log(e, event.Fields{event.Subject: m.Host, "domain": m.Domain})
 }
 
-// learnSelf answers what others hold of this node. A suspicion or an obituary
+// refuteSelf answers what others hold of this node. A suspicion or an obituary
 // is objected to with a higher sequence; a record of a later incarnation that
 // is not ours can only be from before this process, with a clock ahead.
-func (h *Core) learnSelf(m Member) {
+func (h *Core) refuteSelf(m Member) {
 	if h.self.State == Leaving {
 		return
 	}
@@ -107,19 +107,19 @@
 
 func (h *Core) records(l *link, f Records) {
 	for i := range f.Members {
-		h.learn(l.id, f.Members[i])
+		h.merge(l.id, f.Members[i])
 	}
 }
 
-// flushNews sends the records that changed since the last tick on every link
+// flushUpdates sends the records that changed since the last tick on every link
 // but the one that each came over. Gathering them for one tick turns the
 // return of a whole domain into a few frames.
-func (h *Core) flushNews() {
-	if len(h.news) == 0 {
+func (h *Core) flushUpdates() {
+	if len(h.updates) == 0 {
 		return
 	}
-	hosts := make([]string, 0, len(h.news))
-	for host := range h.news {
+	hosts := make([]string, 0, len(h.updates))
+	for host := range h.updates {
 		hosts = append(hosts, host)
 	}
 	sort.Strings(hosts)
@@ -128,8 +128,8 @@
 			h.sendRecords(l, hosts, true)
 		}
 	}
-	clear(h.news)
-	clear(h.newsFrom)
+	clear(h.updates)
+	clear(h.updateFrom)
 }
 
 // sendRecords sends the records of hosts in frames of bounded size; with
@@ -138,7 +138,7 @@
 	var batch []Member
 	for _, host := range hosts {
 		r := h.table.byHost[host]
-		if r == nil || (fresh && h.newsFrom[host] == l.id) {
+		if r == nil || (fresh && h.updateFrom[host] == l.id) {
 			continue
 		}
 		batch = append(batch, r.Member)
@@ -155,7 +155,7 @@
 func (h *Core) beat(l *link, f Beat) {
 	h.heardFresh(poll{version: f.Version, seen: f.Seen, at: h.ago(f.Fresh)})
 	h.sawUse(l, f.Version)
-	h.heardOutside(l, f.Version)
+	h.remoteFloor(l, f.Version)
 	l.version = max(l.version, f.Version)
 	h.peerBehind(l, f.Version)
 	h.remembered(l, f.Version)
@@ -255,7 +255,7 @@
 // and forgets tombstones.
 func (h *Core) tickMembers() {
 	h.watchNeighbours()
-	h.buryDead()
+	h.removeDead()
 	if h.now.Before(h.nextSweep) {
 		return
 	}
@@ -333,21 +333,21 @@
 	m := r.Member
 	m.State = Suspect
 	if h.table.put(h.now, m) {
-		h.noteNews(m.Host, 0)
+		h.queueUpdate(m.Host, 0)
 		h.log(event.MemberSuspect, event.Fields{event.Subject: m.Host, "domain": m.Domain})
 	}
 }
 
-// buryDead declares suspects of the own domain dead. Other domains are left
+// removeDead declares suspects of the own domain dead. Other domains are left
 // to their own members, who hear of them first: a domain that is cut off as a
 // whole would otherwise be declared dead from afar, and keep nothing.
-func (h *Core) buryDead() {
+func (h *Core) removeDead() {
 	for _, r := range h.table.members(h.self.Domain) {
 		if r.State != Suspect || h.now.Sub(r.since) < deadAfter || r.Host == h.self.Host {
 			continue
 		}
 		m := r.Member
 		m.State = Dead
-		h.learn(0, m)
+		h.merge(0, m)
 	}
 }
--- a/briarrockd/peer/introduce_test.go
+++ b/briarrockd/peer/introduce_test.go
@@ -38,7 +38,7 @@
 	h := New(Config{Self: place("erie-a", "erie", 0), HeadFed: true}, rand.New(rand.NewPCG(1, 1)), now)
 	for _, p := range [][2]string{{"erie-a", "erie"}, {"erie-b", "erie"}, {"superior-a", "superior"}, {"superior-b", "superior"}} {
 		for i := range 20 {
-			h.learn(0, place(p[0], p[1], i))
+			h.merge(0, place(p[0], p[1], i))
 		}
 	}
 	now, _ = ticks(h, now, TickEvery)
@@ -51,7 +51,7 @@
 	c.Check(sent["erie-b-07"], qt.IsFalse)
 
 	// What changes elsewhere is not its concern.
-	h.learn(0, place("erie-b", "erie", 40))
+	h.merge(0, place("erie-b", "erie", 40))
 	now, cmds = ticks(h, now, TickEvery)
 	c.Check(sentRecords(cmds, 1), qt.HasLen, 0)
 
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -114,12 +114,12 @@
 	byHost map[string]*link
 	dials  map[string]*dialing
 
-	lost      map[string]time.Time // neighbours without a link, since when
-	news      map[string]bool      // hosts whose records are still to be sent
-	newsFrom  map[string]LinkID    // and the link that each came over
-	changed   bool                 // members changed since the last Publish
-	nextTry   time.Time            // next attempt at a contact or a tombstone
-	nextSweep time.Time
+	lost       map[string]time.Time // neighbours without a link, since when
+	updates    map[string]bool      // hosts whose records are still to be sent
+	updateFrom map[string]LinkID    // and the link that each came over
+	changed    bool                 // members changed since the last Publish
+	nextTry    time.Time            // next attempt at a contact or a tombstone
+	nextSweep  time.Time
 
 	version versions
 	watch   watch
@@ -166,18 +166,18 @@
 // all that is spread at random.
 func New(cfg Config, rng *rand.Rand, now time.Time) *Core {
 	h := &Core{
-		cfg:      cfg,
-		rng:      rng,
-		now:      now,
-		self:     cfg.Self,
-		table:    newTable(),
-		links:    make(map[LinkID]*link),
-		byHost:   make(map[string]*link),
-		dials:    make(map[string]*dialing),
-		lost:     make(map[string]time.Time),
-		news:     make(map[string]bool),
-		newsFrom: make(map[string]LinkID),
-		changed:  true,
+		cfg:        cfg,
+		rng:        rng,
+		now:        now,
+		self:       cfg.Self,
+		table:      newTable(),
+		links:      make(map[LinkID]*link),
+		byHost:     make(map[string]*link),
+		dials:      make(map[string]*dialing),
+		lost:       make(map[string]time.Time),
+		updates:    make(map[string]bool),
+		updateFrom: make(map[string]LinkID),
+		changed:    true,
 	}
 	h.version = newVersions()
 	h.watch = newWatch(now, h.jitter(joinSpread))
@@ -237,7 +237,7 @@
 }
 
 func (h *Core) tick() {
-	h.flushNews()
+	h.flushUpdates()
 	h.topology()
 	h.tickLinks()
 	h.tickMembers()
@@ -297,7 +297,7 @@
 	case Have:
 		h.have(l, f)
 	case Known:
-		h.knownOutside(l.id, f.Version)
+		h.observeFloor(l.id, f.Version)
 	case Fresh:
 		h.fresh(l, f)
 	default:
--- a/briarrockd/peer/push.go
+++ b/briarrockd/peer/push.go
@@ -57,7 +57,7 @@
 func (h *Core) have(l *link, f Have) {
 	l.version = max(l.version, f.Version)
 	h.sawUse(l, f.Version)
-	h.heardOutside(l, f.Version)
+	h.remoteFloor(l, f.Version)
 	h.remembered(l, f.Version)
 }
 
@@ -81,7 +81,7 @@
 // serve it, so that is remembered as its floor.
 func (h *Core) notice(l *link, f Notice) {
 	h.sawUse(l, f.Version)
-	h.heardOutside(l, f.Version)
+	h.remoteFloor(l, f.Version)
 	if f.Out {
 		h.version.outside = max(h.version.outside, f.Version)
 	}
--- a/briarrockd/peer/report.go
+++ b/briarrockd/peer/report.go
@@ -271,7 +271,7 @@
 	for _, host := range h.hostsOf(name) {
 		m := h.table.byHost[host].Member
 		m.State = Dead
-		h.learn(0, m)
+		h.merge(0, m)
 	}
 }
 
--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -20,8 +20,8 @@
 
 // The times by which links are sought and given up.
 const (
-	dialFirst = 100 * time.Millisecond
-	dialMost  = 5 * time.Second
+	dialFirst    = 100 * time.Millisecond
+	maxDialPause = 5 * time.Second
 	// linger is how long a link stays that the topology has no more use for.
 	linger = 5 * time.Second
 	// tryEvery is the mean time between attempts at contacts that are not
@@ -29,15 +29,15 @@
 	// what heals a partition after which the two sides have forgotten each
 	// other.
 	tryEvery = 10 * time.Second
-	// aloneDials is how many contacts a node without links tries at each tick:
+	// isolatedDials is how many contacts a node without links tries at each tick:
 	// some of them may be gone, and an attempt at these takes seconds.
-	aloneDials = 3
+	isolatedDials = 3
 	// joinSpread spreads out first attempts when many nodes start at once.
 	joinSpread = 300 * time.Millisecond
 )
 
-// wish is a link that this node should have and has to dial.
-type wish struct {
+// desiredLink is a link that this node should have and has to dial.
+type desiredLink struct {
 	addr string
 	host string
 	lazy bool
@@ -73,51 +73,51 @@
 
 func (h *Core) isRoot() bool { return h.position() == 0 }
 
-// wishes lists the links that this node has to dial.
-func (h *Core) wishes() []wish {
+// desiredLinks lists the links that this node has to dial.
+func (h *Core) desiredLinks() []desiredLink {
 	i := h.position()
 	if i < 0 {
 		return nil
 	}
 	order := h.table.members(h.self.Domain)
-	var out []wish
+	var out []desiredLink
 	if i > 0 {
-		out = append(out, wish{addr: order[(i-1)/degree].Peer, host: order[(i-1)/degree].Host})
+		out = append(out, desiredLink{addr: order[(i-1)/degree].Peer, host: order[(i-1)/degree].Host})
 		if (i-1)/degree != i-1 {
-			out = append(out, wish{addr: order[i-1].Peer, host: order[i-1].Host})
+			out = append(out, desiredLink{addr: order[i-1].Peer, host: order[i-1].Host})
 		}
 	}
 	if i < bridges {
-		out = append(out, h.domainWishes(i)...)
+		out = append(out, h.domainLinks(i)...)
 	}
-	return append(out, h.regionWishes()...)
+	return append(out, h.interRegionLinks()...)
 }
 
-// domainWishes links bridge i to bridge i of each domain of the region that
+// domainLinks links bridge i to bridge i of each domain of the region that
 // sorts after this one; those before it dial this one.
-func (h *Core) domainWishes(i int) []wish {
-	var out []wish
+func (h *Core) domainLinks(i int) []desiredLink {
+	var out []desiredLink
 	for _, name := range h.table.names() {
 		if name <= h.self.Domain || h.table.domains[name].region != h.self.Region {
 			continue
 		}
 		if r := h.pick(name, i); r != nil {
-			out = append(out, wish{addr: r.Peer, host: r.Host})
+			out = append(out, desiredLink{addr: r.Peer, host: r.Host})
 		}
 	}
 	return out
 }
 
-// regionWishes links the carriers of this region to those of each region that
+// interRegionLinks links the carriers of this region to those of each region that
 // sorts after it. The second carrier's links are lazy: they carry news only
 // when the first one's fail to.
-func (h *Core) regionWishes() []wish {
+func (h *Core) interRegionLinks() []desiredLink {
 	own := h.carriers(h.self.Region)
 	i := slices.IndexFunc(own, func(r *record) bool { return r.Host == h.self.Host })
 	if i < 0 {
 		return nil
 	}
-	var out []wish
+	var out []desiredLink
 	for _, region := range h.regions() {
 		if region <= h.self.Region {
 			continue
@@ -127,7 +127,7 @@
 			continue
 		}
 		r := theirs[min(i, len(theirs)-1)]
-		out = append(out, wish{addr: r.Peer, host: r.Host, lazy: i > 0})
+		out = append(out, desiredLink{addr: r.Peer, host: r.Host, lazy: i > 0})
 	}
 	return out
 }
@@ -217,7 +217,7 @@
 	for _, r := range h.neighbours() {
 		wanted[r.Host] = true
 	}
-	for _, w := range h.wishes() {
+	for _, w := range h.desiredLinks() {
 		wanted[w.host] = true
 		if l := h.byHost[w.host]; l != nil {
 			l.lazy = l.outbound && w.lazy
@@ -225,7 +225,7 @@
 		}
 		h.dial(w.addr, w.host, w.lazy)
 	}
-	h.tryStrangers()
+	h.rejoin()
 	for _, l := range h.sortedLinks() {
 		h.release(l, wanted[l.host])
 	}
@@ -246,10 +246,10 @@
 	}
 }
 
-// tryStrangers seeks links beyond the topology: contacts that are not known
+// rejoin seeks links beyond the topology: contacts that are not known
 // as members, often while there is no link at all, and the dead of the own
 // domain, who may have declared us dead too.
-func (h *Core) tryStrangers() {
+func (h *Core) rejoin() {
 	alone := len(h.links) == 0
 	if !alone && h.now.Before(h.nextTry) {
 		return
@@ -274,7 +274,7 @@
 	}
 	n := 1
 	if alone {
-		n = aloneDials
+		n = isolatedDials
 	}
 	for range min(n, len(addrs)) {
 		h.dial(addrs[h.rng.IntN(len(addrs))], "", false)
@@ -322,7 +322,7 @@
 	}
 	d.busy = false
 	d.fails++
-	wait := min(dialFirst<<min(d.fails, 10), dialMost)
+	wait := min(dialFirst<<min(d.fails, 10), maxDialPause)
 	d.nextAt = h.now.Add(wait/2 + h.jitter(wait/2))
 	// A host on which nobody listens has no process: waiting out the usual
 	// time would only send it calls that are bound to fail.
@@ -374,7 +374,7 @@
 	if d == nil || d.host == "" || d.host == answers {
 		return false
 	}
-	h.dials[m.Addr].nextAt = h.now.Add(dialMost)
+	h.dials[m.Addr].nextAt = h.now.Add(maxDialPause)
 	if r := h.table.byHost[d.host]; r != nil && r.State == Alive && r.Domain == h.self.Domain {
 		h.suspect(r)
 	}
@@ -384,14 +384,14 @@
 // greeted takes in what the peer's hello says.
 func (h *Core) greeted(l *link, hi Hello) {
 	h.reincarnate(hi.Known)
-	h.learn(l.id, hi.Member)
+	h.merge(l.id, hi.Member)
 	h.heardFresh(poll{version: hi.Version, seen: hi.Seen, at: h.ago(hi.Fresh)})
 	h.raiseFloor(hi.Floor)
 	h.raiseFloor(hi.Domain)
 	h.sawUse(l, hi.Version)
-	h.heardOutside(l, hi.Version)
+	h.remoteFloor(l, hi.Version)
 	if l.domain == h.self.Domain {
-		h.knownOutside(l.id, hi.Outside)
+		h.observeFloor(l.id, hi.Outside)
 	}
 	h.heardVersion(l, hi.Version, hi.Hash)
 	if h.introduces(l, hi) {
--- a/briarrockd/peer/version.go
+++ b/briarrockd/peer/version.go
@@ -23,10 +23,10 @@
 	// maxTries bounds the attempts at one version, after which the node goes
 	// back to believing its peers and the head anew.
 	maxTries = 12
-	// distrustAfter is the number of attempts from which on a version that the
+	// quarantineAfter is the number of attempts from which on a version that the
 	// head has not reached is given up; before, the head may have been read
 	// just before the version was accepted.
-	distrustAfter = 4
+	quarantineAfter = 4
 	// pushNear and pushPaid bound the differences that are pushed unasked, in
 	// bytes, within a region and over the paid link.
 	pushNear = 256
@@ -36,9 +36,9 @@
 	// serveAfter is how long a node that has just started waits for word that
 	// is newer than its start, before it serves what its peers hold.
 	serveAfter = 3 * time.Second
-	// metAfter is how long a link is open until all that its peer remembers has
+	// joinedAfter is how long a link is open until all that its peer remembers has
 	// come over it.
-	metAfter = 500 * time.Millisecond
+	joinedAfter = 500 * time.Millisecond
 )
 
 // versions is what a node holds of the configuration.
@@ -126,10 +126,10 @@
 	return n
 }
 
-// distrust gives up a version above the head: the head is the authority, and
+// quarantine gives up a version above the head: the head is the authority, and
 // a number that it has not reached can only have come from a peer in error.
-func (v *versions) distrust(head uint64) {
-	if v.want.number > head && v.want.tries >= distrustAfter {
+func (v *versions) quarantine(head uint64) {
+	if v.want.number > head && v.want.tries >= quarantineAfter {
 		v.want = want{}
 	}
 }
@@ -174,7 +174,7 @@
 		return
 	}
 	if at := h.fetchAt(); at.After(h.now) {
-		// As if it had been asked for then in vain: askLate goes on from there.
+		// As if it had been asked for then in vain: retryRequest goes on from there.
 		w.asked, w.askedAt, w.tries = true, at.Add(-hedgeAfter), 1
 		return
 	}
@@ -213,7 +213,7 @@
 	if v.started.IsZero() {
 		v.started = h.now
 	}
-	h.askLate()
+	h.retryRequest()
 	for _, l := range h.sortedLinks() {
 		h.tellLazy(l)
 	}
@@ -221,10 +221,10 @@
 	h.serve()
 }
 
-// askLate goes on to the next source when one has not answered in time. A
+// retryRequest goes on to the next source when one has not answered in time. A
 // version that nobody can give in the end is given up: its number may have
 // come from a peer in error, and must not keep the node from the true head.
-func (h *Core) askLate() {
+func (h *Core) retryRequest() {
 	w := &h.version.want
 	if !w.asked || h.now.Sub(w.askedAt) <= hedgeAfter*time.Duration(w.tries) {
 		return
@@ -235,13 +235,13 @@
 		return
 	}
 	if len(w.sources) == 0 {
-		h.moreSources()
+		h.addSources()
 	}
 	h.ask()
 }
 
-// moreSources collects the links whose peers are known to have the version.
-func (h *Core) moreSources() {
+// addSources collects the links whose peers are known to have the version.
+func (h *Core) addSources() {
 	w := &h.version.want
 	for _, l := range h.sortedLinks() {
 		if l.version >= w.number && len(w.sources) < maxSources {
@@ -294,7 +294,7 @@
 	base := h.version.content[f.Base]
 	if !f.Base.IsZero() && base == nil {
 		w.whole = true
-		h.askAgain(l)
+		h.requestAgain(l)
 		return
 	}
 	if !h.unpack(l.host, base, f) {
@@ -306,8 +306,8 @@
 	h.remembered(l, f.Version)
 }
 
-// askAgain asks the same source once more, for the whole this time.
-func (h *Core) askAgain(l *link) {
+// requestAgain asks the same source once more, for the whole this time.
+func (h *Core) requestAgain(l *link) {
 	h.version.want.sources = append(h.version.want.sources, l.id)
 	h.ask()
 }
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -25,8 +25,8 @@
 	// freshMargin is how much later than this node's start a peer's read must
 	// seem to be to count as later: more than a message is ever on its way.
 	freshMargin = time.Second
-	// backoffMost bounds the pause after reads that failed.
-	backoffMost = 20 * time.Second
+	// maxBackoff bounds the pause after reads that failed.
+	maxBackoff = 20 * time.Second
 )
 
 // watch is what a node knows of the head row.
@@ -189,7 +189,7 @@
 	if h.position() >= bridges {
 		w.nextAt = h.now.Add(h.jitter(otherSpread))
 	}
-	h.version.distrust(m.Version)
+	h.version.quarantine(m.Version)
 	if m.Version > h.version.number {
 		w.ahead = poll{version: m.Version, at: w.readAt, own: true}
 		h.headAhead(m.Version, m.Hash)
@@ -224,7 +224,7 @@
 		h.log(event.StoreDown, event.Fields{"error": err.Error()})
 	}
 	w.fails++
-	pause := min(leadReads<<min(w.fails, 6), backoffMost)
+	pause := min(leadReads<<min(w.fails, 6), maxBackoff)
 	if h.position() >= bridges {
 		pause = otherSpread
 	}
