caller: rename overload, stall detection and retries to the field's terms

pressed, noRoom, fullNow, poorNow, told, quiet, draws, mayGoOn, settles, under, moves, nowhere and story become overloaded, markFull, isFull, degraded, observeFeedback, stalled, samples, shouldRetry, resolve, inFlight, reroutes, noUpstream and callTrace. Names and comments only.

--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -138,14 +138,14 @@
 	// nothing.
 	aim time.Time
 	// returns is set for a caller that seems to have been refused before.
-	returns  bool
-	body     []byte // kept to be sent again; nil for none or a streamed one
-	streamed bool
-	begun    *begun
-	print    uint64
-	claim    *claim.Claim
-	trace    string
-	story    story
+	returns   bool
+	body      []byte // kept to be sent again; nil for none or a streamed one
+	streamed  bool
+	begun     *begun
+	print     uint64
+	claim     *claim.Claim
+	trace     string
+	callTrace callTrace
 }
 
 // refusal is a decision against a call.
--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -17,12 +17,12 @@
 	// only for one that is more than two sooner.
 	farDomain = 0.5
 	farRegion = 2.5
-	// calmDraws is how many upstreams of each distance are compared while none has
-	// been full of late: more of them find the faster ones. pressedDraws is the
+	// calmSamples is how many upstreams of each distance are compared while none has
+	// been full of late: more of them find the faster ones. overloadSamples is the
 	// same when some have: what is known of load is then old sooner, and with
-	// many draws all nodes would send to the same few.
-	calmDraws    = 4
-	pressedDraws = 2
+	// many samples all nodes would send to the same few.
+	calmSamples     = 4
+	overloadSamples = 2
 	// loadHalf is the time after which a reported load counts half.
 	loadHalf = 500 * time.Millisecond
 	// loadKnee is the load from which on a target is expected to slow down;
@@ -44,24 +44,24 @@
 // Ejection of upstreams that fail.
 const (
 	// ejectAfter is the number of failures in a row.
-	ejectAfter = 3
-	ejectFirst = time.Second
-	ejectMost  = 30 * time.Second
+	ejectAfter  = 3
+	ejectFirst  = time.Second
+	maxEjection = 30 * time.Second
 	// unreachedFor is how long an upstream is left alone whose node could not
 	// be connected to: about the time in which a killed process is back.
 	unreachedFor = 500 * time.Millisecond
-	// keepShare is the part of a set that ejection must leave, as 1/keepShare:
-	// when more fails than that, the fault is likely not the targets'.
-	keepShare = 2
+	// minHealthyShare bounds ejection to a part of a set, as 1/minHealthyShare: if more
+	// fails, the fault is likely not the targets'.
+	minHealthyShare = 2
 	// An upstream that had no room is not asked again for about as long as it
 	// takes until one of its slots comes free, within these bounds: a caller is
 	// refused at once, with most of its time left, instead of after asking one
 	// full target after the other.
-	fullLeast = 2 * time.Millisecond
-	fullMost  = 20 * time.Millisecond
-	// farFullFor is the most for one in another region, which says itself how
+	minFullTTL = 2 * time.Millisecond
+	maxFullTTL = 20 * time.Millisecond
+	// maxFarFullTTL is the most for one in another region, which says itself how
 	// long it has no room to spare; the way there is long, and paid.
-	farFullFor = 500 * time.Millisecond
+	maxFarFullTTL = 500 * time.Millisecond
 	// leavingFor is how long an upstream that leaves is left alone.
 	leavingFor = 3 * time.Second
 	// maxStates bounds the table of upstreams that are remembered.
@@ -122,7 +122,7 @@
 	}
 	s := c.state(service, best.host)
 	if s.inflight == 0 {
-		s.quietAt = now
+		s.stalledSince = now
 	}
 	s.inflight++
 	s.since++
@@ -148,9 +148,9 @@
 func (c *Chooser) best(v *view, tried []string, priority snapshot.Priority) (upstream, bool) {
 	usable := v.usable(tried, priority)
 	unit := v.unit(usable)
-	draws := calmDraws
-	if v.anyPressed() {
-		draws = pressedDraws
+	samples := calmSamples
+	if v.anyOverloaded() {
+		samples = overloadSamples
 	}
 	var tiers [tierCount][]int
 	for _, i := range usable {
@@ -159,7 +159,7 @@
 	}
 	best, found, least := 0, false, 0.0
 	for t, list := range tiers {
-		for _, i := range c.draw(list, draws) {
+		for _, i := range c.sample(list, samples) {
 			cost := v.cost(i, unit) + [tierCount]float64{0, farDomain, farRegion}[t]
 			if !found || cost < least {
 				best, found, least = i, true, cost
@@ -188,8 +188,8 @@
 	return known[len(known)/2]
 }
 
-// draw takes up to n different elements of a list at random.
-func (c *Chooser) draw(list []int, n int) []int {
+// sample takes up to n different elements of a list at random.
+func (c *Chooser) sample(list []int, n int) []int {
 	if len(list) <= n {
 		return list
 	}
@@ -210,7 +210,7 @@
 		if slices.Contains(tried, v.set[i].host) {
 			continue
 		}
-		if s != nil && (s.leaves(v.now, &v.set[i]) || s.fullNow(v.now, priority)) {
+		if s != nil && (s.leaves(v.now, &v.set[i]) || s.isFull(v.now, priority)) {
 			continue
 		}
 		rest = append(rest, i)
@@ -218,7 +218,7 @@
 			sound = append(sound, i)
 		}
 	}
-	if len(sound)*keepShare < len(rest) {
+	if len(sound)*minHealthyShare < len(rest) {
 		return rest
 	}
 	return sound
@@ -236,10 +236,10 @@
 		pace = float64(s.usual) / float64(unit)
 	}
 	cost := pace*(1+waitCost(s.expected(v.now, v.set[i].slots))) - 1
-	poor := s.poorNow(v.now)
+	poor := s.degraded(v.now)
 	cost += failCost * poor * poor
-	if s.quiet(v.now) {
-		cost += quietCost
+	if s.stalled(v.now) {
+		cost += stallCost
 	}
 	return cost
 }
@@ -288,12 +288,12 @@
 	defer c.mu.Unlock()
 	s := c.state(service, host)
 	s.inflight = max(0, s.inflight-1)
-	s.told(now, f)
+	s.observeFeedback(now, f)
 	if f.Leaving {
 		s.leaving, s.leavingProcess = now.Add(leavingFor), s.process
 	}
 	if f.Full {
-		s.noRoom(now, f)
+		s.markFull(now, f)
 	}
 	if f.Unreached {
 		s.until = later(s.until, now.Add(unreachedFor))
@@ -307,7 +307,7 @@
 		return
 	}
 	s.fails = 0
-	s.until = now.Add(min(ejectFirst<<min(s.ejected, 6), ejectMost))
+	s.until = now.Add(min(ejectFirst<<min(s.ejected, 6), maxEjection))
 	s.ejected++
 }
 
@@ -323,18 +323,18 @@
 func (c *Chooser) anyFull(now time.Time, service string, set []upstream, priority snapshot.Priority) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.view(now, service, set).any(func(s *state) bool { return s.fullNow(now, priority) })
+	return c.view(now, service, set).any(func(s *state) bool { return s.isFull(now, priority) })
 }
 
-// pressed tells whether an upstream of a set had no room of late.
-func (c *Chooser) pressed(now time.Time, service string, set []upstream) bool {
+// overloaded tells whether an upstream of a set had no room of late.
+func (c *Chooser) overloaded(now time.Time, service string, set []upstream) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.view(now, service, set).anyPressed()
+	return c.view(now, service, set).anyOverloaded()
 }
 
-func (v *view) anyPressed() bool {
-	return v.any(func(s *state) bool { return v.now.Sub(s.fullAt) < pressedFor })
+func (v *view) anyOverloaded() bool {
+	return v.any(func(s *state) bool { return v.now.Sub(s.fullAt) < overloadedFor })
 }
 
 func (v *view) any(is func(*state) bool) bool {
--- a/briarrockd/caller/choose_test.go
+++ b/briarrockd/caller/choose_test.go
@@ -118,7 +118,7 @@
 	}
 	_, ok := ch.pick(now, "orderdesk", set, nil, 0)
 	c.Check(ok, qt.IsTrue)
-	c.Check(ch.Ejected(now.Add(ejectMost)), qt.Equals, 0)
+	c.Check(ch.Ejected(now.Add(maxEjection)), qt.Equals, 0)
 }
 
 // TestLeaving checks that an upstream which said that it leaves gets nothing
--- a/briarrockd/caller/fleet_test.go
+++ b/briarrockd/caller/fleet_test.go
@@ -271,7 +271,7 @@
 	fb.Full, fb.Again = r.Kind == kind.Full, r.Wait
 	f.at(f.now.Add(hop), func() {
 		c.ch.done(f.now, fleetService, u.host, fb)
-		if c.moves++; c.moves > maxMoves {
+		if c.moves++; c.moves > maxReroutes {
 			c.end(false)
 			return
 		}
--- a/briarrockd/caller/pressed_test.go
+++ b/briarrockd/caller/overload_test.go
@@ -34,11 +34,11 @@
 	ask()
 	c.Check(asked, qt.Equals, len(set))
 	c.Check(ch.anyFull(now, "orderdesk", set, snapshot.Normal), qt.IsTrue)
-	now = now.Add(fullMost)
+	now = now.Add(maxFullTTL)
 	asked = 0
 	ask()
 	c.Check(asked, qt.Equals, 8, qt.Commentf("only the own region's"))
-	now = now.Add(farFullFor)
+	now = now.Add(maxFarFullTTL)
 	asked, again = 0, 50*time.Millisecond
 	ask()
 	c.Check(asked, qt.Equals, len(set))
@@ -106,7 +106,7 @@
 		}
 		if full {
 			ch.done(now, "orderdesk", set[1].host, Feedback{Load: -1, Full: true})
-			now = now.Add(fullMost)
+			now = now.Add(maxFullTTL)
 		}
 		fastest := 0
 		for range 200 {
@@ -120,8 +120,8 @@
 		return fastest
 	}
 	c.Check(share(false), qt.Equals, 200)
-	pressed := share(true)
-	c.Check(pressed > 60 && pressed < 140, qt.IsTrue, qt.Commentf("%d", pressed))
+	overloaded := share(true)
+	c.Check(overloaded > 60 && overloaded < 140, qt.IsTrue, qt.Commentf("%d", overloaded))
 }
 
 // TestBackAgain restarts a node, as all are after a loss of power.
--- a/briarrockd/caller/retry.go
+++ b/briarrockd/caller/retry.go
@@ -15,12 +15,12 @@
 )
 
 const (
-	// maxMoves is how many refusals by targets' nodes are followed by another
+	// maxReroutes is how many refusals by targets' nodes are followed by another
 	// choice. Each costs a way there and back and no work at any target; where
 	// so many refuse, the service has no room, and the caller is told so.
-	maxMoves = 3
-	// leastLeft is the time below which an attempt is not worth making.
-	leastLeft = 5 * time.Millisecond
+	maxReroutes = 3
+	// minTimeLeft is the time below which an attempt is not worth making.
+	minTimeLeft = 5 * time.Millisecond
 )
 
 // mayRetry decides whether a failed attempt may be followed by another one.
@@ -64,14 +64,14 @@
 
 // race is the attempts of one call that are under way.
 type race struct {
-	p       *Proxy
-	c       *call
-	results chan attempt
-	under   int // attempts that have not ended
-	tried   []string
-	reached int // attempts that got to a target
-	moves   int // attempts that a target's node refused
-	hedged  bool
+	p        *Proxy
+	c        *call
+	results  chan attempt
+	inFlight int // attempts that have not ended
+	tried    []string
+	reached  int // attempts that got to a target
+	reroutes int // attempts that a target's node refused
+	hedged   bool
 	// sent is set when an earlier attempt may have run.
 	sent bool
 	// after is the soonest time to come back that any refusal named.
@@ -81,17 +81,17 @@
 // attemptAll makes attempts until one is final, and returns that one.
 func (p *Proxy) attemptAll(c *call) attempt {
 	p.deps.Budget.call(c.service.Name)
-	x := &race{p: p, c: c, results: make(chan attempt, maxMoves+c.route.Retries+2)}
+	x := &race{p: p, c: c, results: make(chan attempt, maxReroutes+c.route.Retries+2)}
 	if !x.start("to") {
-		return p.nowhere(c)
+		return p.noUpstream(c)
 	}
 	hedge := x.hedgeTimer()
 	defer hedge.Stop()
 	for {
 		select {
 		case a := <-x.results:
-			x.under--
-			if x.settles(&a) {
+			x.inFlight--
+			if x.resolve(&a) {
 				return a
 			}
 		case <-hedge.C:
@@ -105,8 +105,8 @@
 // spreads the return of those who were refused together.
 const fullAgain = 40 * time.Millisecond
 
-// nowhere is the end of a call that has no upstream to go to.
-func (p *Proxy) nowhere(c *call) attempt {
+// noUpstream is the end of a call that has no upstream to go to.
+func (p *Proxy) noUpstream(c *call) attempt {
 	if p.deps.Chooser.anyFull(time.Now(), c.service.Name, c.set, c.route.Priority) {
 		return attempt{kind: kind.Full, ran: kind.RanNo, after: fullAgain + rand.N(fullAgain)}
 	}
@@ -120,8 +120,8 @@
 		return false
 	}
 	x.tried = append(x.tried, u.host)
-	x.c.story.step(what, u.host, kind.None)
-	x.under++
+	x.c.callTrace.step(what, u.host, kind.None)
+	x.inFlight++
 	// The attempt ends with the caller, but not with this race: one that lost
 	// it may be at work, and breaking that off would only waste it.
 	ctx, cancel := context.WithCancel(context.WithoutCancel(x.c.r.Context()))
@@ -134,18 +134,18 @@
 	return true
 }
 
-// settles takes the end of an attempt and decides whether it is the call's:
+// resolve takes the end of an attempt and decides whether it is the call's:
 // if not, another one is under way.
-func (x *race) settles(a *attempt) bool {
+func (x *race) resolve(a *attempt) bool {
 	c := x.c
 	if a.reached {
 		x.reached++
 	} else {
-		x.moves++
+		x.reroutes++
 	}
 	if a.kind != kind.None || a.failure() {
-		c.story.step("got", a.host, a.kind)
-		c.story.cause = a.err
+		c.callTrace.step("got", a.host, a.kind)
+		c.callTrace.cause = a.err
 	}
 	if a.kind == kind.None && a.res != nil && !a.failure() {
 		x.leave()
@@ -154,11 +154,11 @@
 	if a.after > 0 && (x.after == 0 || a.after < x.after) {
 		x.after = a.after
 	}
-	if x.mayGoOn(a) && x.start("again") {
+	if x.shouldRetry(a) && x.start("again") {
 		x.drop(a)
 		return false
 	}
-	if x.under > 0 {
+	if x.inFlight > 0 {
 		x.drop(a)
 		return false
 	}
@@ -174,10 +174,10 @@
 
 // leave lets the attempts that lost run to their end, and reads their answers.
 func (x *race) leave() {
-	if x.under == 0 {
+	if x.inFlight == 0 {
 		return
 	}
-	left := x.under
+	left := x.inFlight
 	go func() {
 		for range left {
 			a := <-x.results
@@ -203,10 +203,10 @@
 	}
 }
 
-// mayGoOn decides whether another attempt follows one that failed.
-func (x *race) mayGoOn(a *attempt) bool {
+// shouldRetry decides whether another attempt follows one that failed.
+func (x *race) shouldRetry(a *attempt) bool {
 	c := x.c
-	if time.Until(c.deadline) < leastLeft || c.route.Retries == 0 || c.r.Context().Err() != nil || !x.mayRun() {
+	if time.Until(c.deadline) < minTimeLeft || c.route.Retries == 0 || c.r.Context().Err() != nil || !x.mayRun() {
 		return false
 	}
 	if a.failure() {
@@ -220,14 +220,14 @@
 	}
 	// Nothing reached a target, so no target's work is at stake: another
 	// choice is free, and what bounds it is the time that it takes.
-	return x.moves <= maxMoves
+	return x.reroutes <= maxReroutes
 }
 
 // mayRun tells whether one more target may get the request. Attempts that are
 // still under way count as if they had reached theirs: nobody knows yet that
 // they have not, and the request would run at more targets than its route
 // allows.
-func (x *race) mayRun() bool { return x.reached+x.under <= x.c.route.Retries }
+func (x *race) mayRun() bool { return x.reached+x.inFlight <= x.c.route.Retries }
 
 // affordsRun takes another run at a target out of the service's budget.
 func (x *race) affordsRun() bool { return x.p.deps.Budget.retry(x.c.service.Name) }
@@ -265,17 +265,17 @@
 	return t
 }
 
-// pressedFor is how long after an upstream had no room its service counts as
-// pressed.
-const pressedFor = 500 * time.Millisecond
+// overloadedFor is how long after an upstream had no room its service counts as
+// overloaded.
+const overloadedFor = 500 * time.Millisecond
 
-// hedge asks a second target, unless the service is pressed: the attempt would
+// hedge asks a second target, unless the service is overloaded: the attempt would
 // take a slot from a call that has none.
 func (x *race) hedge() {
-	if x.p.deps.Chooser.pressed(time.Now(), x.c.service.Name, x.c.set) {
+	if x.p.deps.Chooser.overloaded(time.Now(), x.c.service.Name, x.c.set) {
 		return
 	}
-	if x.hedged || x.under == 0 || !x.mayRun() || !x.p.deps.Budget.hedge(x.c.service.Name) {
+	if x.hedged || x.inFlight == 0 || !x.mayRun() || !x.p.deps.Budget.hedge(x.c.service.Name) {
 		return
 	}
 	x.hedged = true
--- a/briarrockd/caller/state.go
+++ b/briarrockd/caller/state.go
@@ -8,12 +8,12 @@
 
 // How silence is found: attempts are under way, and nothing comes back.
 const (
-	// quietTimes is how many times the usual time nothing may come back.
-	quietTimes = 4
-	// quietLeast is the least such time, above the way to another region and
+	// stallFactor is how many times the usual time nothing may come back.
+	stallFactor = 4
+	// minStall is the least such time, above the way to another region and
 	// the work of most requests.
-	quietLeast = 250 * time.Millisecond
-	quietCost  = 5.0
+	minStall  = 250 * time.Millisecond
+	stallCost = 5.0
 )
 
 // Feedback is what one attempt told about an upstream.
@@ -46,13 +46,13 @@
 	// since counts the picks since the load was reported.
 	since int
 	usual time.Duration
-	// quietAt is since when attempts have been under way with nothing back.
-	quietAt time.Time
-	poor    float64 // share of the attempts that failed, at poorAt
-	poorAt  time.Time
-	fails   int
-	ejected int // times in a row
-	until   time.Time
+	// stalledSince is since when attempts have been under way with nothing back.
+	stalledSince time.Time
+	poor         float64 // share of the attempts that failed, at poorAt
+	poorAt       time.Time
+	fails        int
+	ejected      int // times in a row
+	until        time.Time
 	// leaving is until when the upstream is left alone since it said that it
 	// leaves; by then the members' records say so too.
 	leaving time.Time
@@ -80,12 +80,12 @@
 	return max(own, reported)
 }
 
-// quiet tells whether several attempts have been under way for long with
+// stalled tells whether several attempts have been under way for long with
 // nothing back: the node or its target has stopped, or can't be reached, and
 // no error says so.
-func (s *state) quiet(now time.Time) bool {
+func (s *state) stalled(now time.Time) bool {
 	const attempts = 2 // one alone may just be long work
-	return s.inflight >= attempts && now.Sub(s.quietAt) > max(quietLeast, quietTimes*s.usual)
+	return s.inflight >= attempts && now.Sub(s.stalledSince) > max(minStall, stallFactor*s.usual)
 }
 
 // leaves tells whether an upstream has said that it leaves. The word holds for the
@@ -95,33 +95,33 @@
 	return s.leaving.After(now) && s.leavingProcess == u.process
 }
 
-// noRoom notes that there was no room for a call.
-func (s *state) noRoom(now time.Time, f Feedback) {
+// markFull notes that there was no room for a call.
+func (s *state) markFull(now time.Time, f Feedback) {
 	priority := f.Priority
-	if s.fullNow(now, s.fullTo) {
+	if s.isFull(now, s.fullTo) {
 		priority = max(priority, s.fullTo)
 	}
 	s.fullAt, s.fullTo, s.again = now, priority, f.Again
 }
 
-// fullNow tells whether there is known to be no room for a call.
-func (s *state) fullNow(now time.Time, priority snapshot.Priority) bool {
-	return priority <= s.fullTo && now.Sub(s.fullAt) < s.fullFor()
+// isFull tells whether there is known to be no room for a call.
+func (s *state) isFull(now time.Time, priority snapshot.Priority) bool {
+	return priority <= s.fullTo && now.Sub(s.fullAt) < s.fullTTL()
 }
 
-// fullFor is how long the upstream is left alone after it had no room.
-func (s *state) fullFor() time.Duration {
+// fullTTL is how long the upstream is left alone after it had no room.
+func (s *state) fullTTL() time.Duration {
 	if s.far {
-		return min(max(s.again, fullMost), farFullFor)
+		return min(max(s.again, maxFullTTL), maxFarFullTTL)
 	}
 	if s.usual == 0 {
-		return fullMost
+		return maxFullTTL
 	}
-	return min(max(s.usual/time.Duration(max(s.slots, 1)), fullLeast), fullMost)
+	return min(max(s.usual/time.Duration(max(s.slots, 1)), minFullTTL), maxFullTTL)
 }
 
-// told takes the figures of an attempt.
-func (s *state) told(now time.Time, f Feedback) {
+// observeFeedback takes the figures of an attempt.
+func (s *state) observeFeedback(now time.Time, f Feedback) {
 	if f.Load >= 0 {
 		s.load = f.Load
 		s.loadAt = now
@@ -131,18 +131,18 @@
 		s.usual = f.Usual
 	}
 	if !f.Failed {
-		s.quietAt = now
+		s.stalledSince = now
 	}
 	bad := 0.0
 	if f.Failed || f.Poor {
 		bad = 1
 	}
-	poor := s.poorNow(now)
+	poor := s.degraded(now)
 	s.poor = poor + failPart*(bad-poor)
 	s.poorAt = now
 }
 
-// poorNow is the share of the attempts that failed, fading with age.
-func (s *state) poorNow(now time.Time) float64 {
+// degraded is the share of the attempts that failed, fading with age.
+func (s *state) degraded(now time.Time) float64 {
 	return s.poor / (1 + float64(now.Sub(s.poorAt))/float64(failHalf))
 }
--- a/briarrockd/caller/story.go
+++ b/briarrockd/caller/trace.go
@@ -8,15 +8,15 @@
 	"briarrock.example/mesh/kind"
 )
 
-// story is what is told of a call in the log: the decisions along its way.
-type story struct {
+// callTrace is what is told of a call in the log: the decisions along its way.
+type callTrace struct {
 	steps []string
 	// cause is the error of the attempt that failed last without an answer.
 	cause error
 }
 
 // step notes a decision. Most calls have one; the slice stays small.
-func (s *story) step(what, host string, k kind.Kind) {
+func (s *callTrace) step(what, host string, k kind.Kind) {
 	line := what + " " + host
 	if k != kind.None {
 		line += " " + string(k)
@@ -40,16 +40,16 @@
 	if c.entry != "" {
 		f["entry"] = c.entry
 	}
-	if len(c.story.steps) > 0 {
-		f["way"] = strings.Join(c.story.steps, ", ")
+	if len(c.callTrace.steps) > 0 {
+		f["way"] = strings.Join(c.callTrace.steps, ", ")
 	}
-	if c.story.cause != nil {
-		f["cause"] = c.story.cause.Error()
+	if c.callTrace.cause != nil {
+		f["cause"] = c.callTrace.cause.Error()
 	}
 	if !c.deadline.IsZero() {
 		f["left"] = time.Until(c.deadline).Milliseconds()
 	}
-	plain := k == kind.None && len(c.story.steps) <= 1
+	plain := k == kind.None && len(c.callTrace.steps) <= 1
 	if k != kind.None {
 		f["kind"], f["ran"] = string(k), ran.String()
 	}
