target, claim, http1: rename rejection, overload and eviction to the field's terms

turnAway, pressure, lastSaid, leastX, sortOut, insist, makeRoom and crowded become reject, overload, lastAnnouncement, minX, resolveUnknown, retryCommit, evictIdle and overConnLimit. Names and comments only.

--- a/briarrockd/claim/batch.go
+++ b/briarrockd/claim/batch.go
@@ -19,8 +19,8 @@
 	// under way at a time, so under load a batch holds whatever came in while
 	// the last one was being written.
 	batchEvery = 4 * time.Millisecond
-	// laterMost is how long an outcome waits for claims to go along with.
-	laterMost = 250 * time.Millisecond
+	// maxLater is how long an outcome waits for claims to go along with.
+	maxLater = 250 * time.Millisecond
 	// readers bounds the reads that one failed batch does at a time.
 	readers = 8
 )
@@ -125,7 +125,7 @@
 		case <-c.done:
 			return
 		case p := <-c.later:
-			time.Sleep(laterMost)
+			time.Sleep(maxLater)
 			c.commitPaced([]*pending{p})
 		}
 	}
@@ -143,7 +143,7 @@
 	case errors.Is(err, platform.ErrUnavailable):
 		decideAll(batch, found{unsure: true})
 	default:
-		c.sortOut(ctx, batch, errors.Is(err, platform.ErrCondition))
+		c.resolveUnknown(ctx, batch, errors.Is(err, platform.ErrCondition))
 	}
 }
 
@@ -158,12 +158,12 @@
 	return t
 }
 
-// sortOut looks up each claim of a batch whose transaction did not succeed.
+// resolveUnknown looks up each claim of a batch whose transaction did not succeed.
 // After a failed condition those that have no earlier claim are tried again
 // together, and if that fails too, one by one. After a lost answer only a row
 // with the claim's own id proves that it took effect; a missing row proves
 // nothing yet.
-func (c *Claims) sortOut(ctx context.Context, batch []*pending, condition bool) {
+func (c *Claims) resolveUnknown(ctx context.Context, batch []*pending, condition bool) {
 	missing := c.readAll(ctx, batch)
 	if len(missing) == 0 {
 		return
--- a/briarrockd/claim/claim.go
+++ b/briarrockd/claim/claim.go
@@ -280,7 +280,7 @@
 		return
 	}
 	c.ends.Go(func() {
-		c.insist(cl, func(ctx context.Context) bool {
+		c.retryCommit(cl, func(ctx context.Context) bool {
 			f, ok := c.submit(ctx, &pending{
 				write:   platform.Write{Key: cl.key, Value: value},
 				decided: make(chan found, 1),
@@ -300,12 +300,12 @@
 // answer was lost may still bring it.
 func (c *Claims) release(cl *Claim, there bool) {
 	c.ends.Go(func() {
-		c.insist(cl, func(ctx context.Context) bool { return c.deleteOwn(ctx, cl, there) })
+		c.retryCommit(cl, func(ctx context.Context) bool { return c.deleteOwn(ctx, cl, there) })
 	})
 }
 
-// insist tries to write the end of a claim until it succeeds or time is up.
-func (c *Claims) insist(cl *Claim, try func(context.Context) bool) {
+// retryCommit tries to write the end of a claim until it succeeds or time is up.
+func (c *Claims) retryCommit(cl *Claim, try func(context.Context) bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), finishWithin)
 	defer cancel()
 	for !try(ctx) {
--- a/briarrockd/http1/server.go
+++ b/briarrockd/http1/server.go
@@ -107,7 +107,7 @@
 	c := newConn(s, nc)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || !s.makeRoom() {
+	if s.closed || !s.evictIdle() {
 		_ = nc.Close()
 		return
 	}
@@ -127,13 +127,13 @@
 	s.draining = true
 }
 
-// crowded is the part of MaxConns, as crowded/crowdedOf, from which on answers
+// overConnLimit is the part of MaxConns, as overConnLimit/overConnLimitOf, from which on answers
 // close their connections. Callers who were refused come back on a new one and
 // leave the old one open: in a rush these would take all descriptors, and none
 // would be left for the way to the targets.
 const (
-	crowded   = 1
-	crowdedOf = 2
+	overConnLimit   = 1
+	overConnLimitOf = 2
 )
 
 func (s *Server) isDraining() bool {
@@ -146,12 +146,12 @@
 func (s *Server) sheds() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining || (s.cfg.MaxConns > 0 && len(s.conns)*crowdedOf > s.cfg.MaxConns*crowded)
+	return s.draining || (s.cfg.MaxConns > 0 && len(s.conns)*overConnLimitOf > s.cfg.MaxConns*overConnLimit)
 }
 
-// makeRoom tells whether there is room for one more connection, once an idle one
+// evictIdle tells whether there is room for one more connection, once an idle one
 // has been closed if need be.
-func (s *Server) makeRoom() bool {
+func (s *Server) evictIdle() bool {
 	if s.cfg.MaxConns == 0 || len(s.conns) < s.cfg.MaxConns {
 		return true
 	}
--- a/briarrockd/target/announce.go
+++ b/briarrockd/target/announce.go
@@ -217,7 +217,7 @@
 	}
 	known := false
 	for _, x := range t.list() {
-		said := t.lastSaid(x)
+		said := t.lastAnnouncement(x)
 		if said.ID != id {
 			continue
 		}
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -22,7 +22,7 @@
 	draining bool
 	limit    limiter
 	bodies   bodies
-	pressure pressure
+	overload overload
 	reserve  reserve
 
 	running map[CallID]snapshot.Priority
@@ -36,12 +36,12 @@
 	shedAt time.Time
 }
 
-// leastWait is the least time after which asking again is worth it. Right
+// minWait is the least time after which asking again is worth it. Right
 // after a refusal the same slots are still taken; callers who came back at once
 // would only be refused again, and keep the gate busy with it. What waits is no
 // reason to come later: it is run in the order of the aims, and a caller who
 // comes back late can only be answered late.
-const leastWait = 50 * time.Millisecond
+const minWait = 50 * time.Millisecond
 
 // NewGate returns a gate with the given limits.
 func NewGate(l Limits) *Gate {
@@ -117,7 +117,7 @@
 func (g *Gate) refuse(id CallID, k kind.Kind) {
 	wait := time.Duration(0)
 	if k == kind.Full || k == kind.Limit {
-		wait = max(g.wait(0, snapshot.MostUrgent), leastWait)
+		wait = max(g.wait(0, snapshot.MostUrgent), minWait)
 	}
 	g.refuseFor(id, k, wait)
 }
@@ -132,10 +132,10 @@
 	g.cmds = append(g.cmds, r)
 }
 
-// turnAway refuses a call for want of room.
-func (g *Gate) turnAway(a *Arrive, k kind.Kind) {
+// reject refuses a call for want of room.
+func (g *Gate) reject(a *Arrive, k kind.Kind) {
 	if !a.Far {
-		g.pressure.refused(g.now, a.Priority)
+		g.overload.refused(g.now, a.Priority)
 	}
 	g.refuse(a.ID, k)
 }
@@ -162,30 +162,30 @@
 	case !m.Deadline.After(g.now):
 		g.refuse(m.ID, kind.Deadline)
 		return
-	case m.Far && g.pressure.on(g.now, m.Priority):
+	case m.Far && g.overload.on(g.now, m.Priority):
 		g.refuseFor(m.ID, kind.Full, pressedFor)
 		return
 	case m.Far && !g.spares(&m):
-		g.turnAway(&m, kind.Full)
+		g.reject(&m, kind.Full)
 		return
 	case g.fits(&m):
 		// What is queued then waits for the link, and not for a slot.
-		g.pressure.decided(m.Priority, false)
+		g.overload.decided(m.Priority, false)
 		g.queue = append(g.queue, waiting{m, g.now})
 		return
 	}
 	ok := g.inTime(m)
-	g.pressure.decided(m.Priority, !ok)
+	g.overload.decided(m.Priority, !ok)
 	if !ok {
-		g.turnAway(&m, kind.Full)
+		g.reject(&m, kind.Full)
 		return
 	}
 	if g.overShare(m.Caller) {
-		g.turnAway(&m, kind.Limit)
+		g.reject(&m, kind.Limit)
 		return
 	}
 	if len(g.queue) >= g.queueMax && !g.evict(m.Priority) {
-		g.turnAway(&m, kind.Full)
+		g.reject(&m, kind.Full)
 		return
 	}
 	g.queue = append(g.queue, waiting{m, g.now})
@@ -237,12 +237,12 @@
 		w := g.queue[i]
 		g.queue = append(g.queue[:i], g.queue[i+1:]...)
 		if !g.startable(w) {
-			g.turnAway(&w.Arrive, kind.Full)
+			g.reject(&w.Arrive, kind.Full)
 			continue
 		}
 		g.running[w.ID] = w.Priority
 		g.reserve.running[w.Priority]++
-		g.pressure.started(g.now, w.Priority)
+		g.overload.started(g.now, w.Priority)
 		g.bodies.begin(g.now, &w.Arrive)
 		g.turn[w.Caller]++
 		g.cmds = append(g.cmds, Start{w.ID})
--- a/briarrockd/target/pressure.go
+++ b/briarrockd/target/overload.go
@@ -17,12 +17,12 @@
 	// so that the share tells of the last twenty calls.
 	refusedPart = 0.05
 	// refusedMost is the share of refused calls from which on nothing queues
-	// beyond leastQueue.
+	// beyond minQueue.
 	refusedMost = 0.15
 )
 
-// pressure is how short of room a gate is for calls of each priority.
-type pressure struct {
+// overload is how short of room a gate is for calls of each priority.
+type overload struct {
 	// refusedAt is when calls of the own region were last refused.
 	refusedAt [snapshot.MostUrgent + 1]time.Time
 	// share is the part of the last calls that found no room.
@@ -32,12 +32,12 @@
 }
 
 // refused notes that a call of the own region was refused.
-func (p *pressure) refused(now time.Time, priority snapshot.Priority) {
+func (p *overload) refused(now time.Time, priority snapshot.Priority) {
 	p.refusedAt[min(priority, snapshot.MostUrgent)] = now
 }
 
 // on tells whether calls of at least a priority were refused a moment ago.
-func (p *pressure) on(now time.Time, priority snapshot.Priority) bool {
+func (p *overload) on(now time.Time, priority snapshot.Priority) bool {
 	for _, at := range p.refusedAt[min(priority, snapshot.MostUrgent):] {
 		if !at.IsZero() && now.Sub(at) < pressedFor {
 			return true
@@ -47,7 +47,7 @@
 }
 
 // decided counts a call as let in or refused.
-func (p *pressure) decided(priority snapshot.Priority, refused bool) {
+func (p *overload) decided(priority snapshot.Priority, refused bool) {
 	x := 0.0
 	if refused {
 		x = 1
@@ -57,7 +57,7 @@
 }
 
 // started notes that a call was started.
-func (p *pressure) started(now time.Time, priority snapshot.Priority) {
+func (p *overload) started(now time.Time, priority snapshot.Priority) {
 	p.startedAt[min(priority, snapshot.MostUrgent)] = now
 }
 
@@ -67,13 +67,13 @@
 // Where they do so all the time it is never empty, and every call waits in it
 // for nothing: as many are done as without. So the more calls are refused, the
 // less of its time a call may spend waiting, and the rest is told at once.
-func (p *pressure) patience(priority snapshot.Priority) float64 {
+func (p *overload) patience(priority snapshot.Priority) float64 {
 	return max(0, 1-p.share[min(priority, snapshot.MostUrgent)]/refusedMost)
 }
 
 // first tells whether less urgent calls are still started. Then it is not calls of
 // this priority that there are too many of: the next slots are theirs.
-func (p *pressure) first(now time.Time, priority snapshot.Priority) bool {
+func (p *overload) first(now time.Time, priority snapshot.Priority) bool {
 	for _, at := range p.startedAt[:min(priority, snapshot.MostUrgent)] {
 		if !at.IsZero() && now.Sub(at) < lesserFor {
 			return true
--- a/briarrockd/target/queue.go
+++ b/briarrockd/target/queue.go
@@ -23,12 +23,12 @@
 	// work when it is asked whether it will be in time: work varies, and most
 	// calls end within this.
 	workSpread = 2.0
-	// leastQueue is how many may wait in any case: with none, a slot that comes
+	// minQueue is how many may wait in any case: with none, a slot that comes
 	// free stays so until the next call happens to arrive.
-	leastQueue = 1
-	// leastWork is the part of the usual time below which a queued call is not
+	minQueue = 1
+	// minWork is the part of the usual time below which a queued call is not
 	// worth starting: it would take a slot and be broken off.
-	leastWork = 0.5
+	minWork = 0.5
 )
 
 // inTime tells whether a call is expected to end in time: within its aim, if it
@@ -44,11 +44,11 @@
 		return false
 	}
 	work := g.limit.work.of(m.Route)
-	if ahead < leastQueue || g.pressure.first(g.now, m.Priority) {
+	if ahead < minQueue || g.overload.first(g.now, m.Priority) {
 		return !g.now.Add(wait + work).After(m.Deadline)
 	}
 	spare := m.Aim.Sub(g.now) - time.Duration(workSpread*float64(work))
-	return wait <= time.Duration(g.pressure.patience(m.Priority)*float64(spare))
+	return wait <= time.Duration(g.overload.patience(m.Priority)*float64(spare))
 }
 
 // expected is how many calls go before one that arrives, and how long it is
@@ -84,7 +84,7 @@
 
 // startable tells whether a queued call still has the time to be worth a slot.
 func (g *Gate) startable(w waiting) bool {
-	least := time.Duration(leastWork * float64(g.limit.work.of(w.Route)))
+	least := time.Duration(minWork * float64(g.limit.work.of(w.Route)))
 	return w.Aim.IsZero() || !g.now.Add(least).After(w.Deadline)
 }
 
@@ -112,7 +112,7 @@
 	if worst < 0 {
 		return false
 	}
-	g.turnAway(&g.queue[worst].Arrive, kind.Full)
+	g.reject(&g.queue[worst].Arrive, kind.Full)
 	g.queue = append(g.queue[:worst], g.queue[worst+1:]...)
 	return true
 }
@@ -135,8 +135,8 @@
 		switch {
 		case !w.Deadline.After(g.now):
 			g.refuse(w.ID, kind.Deadline)
-		case w.Aim.After(w.at) && !w.Aim.After(g.now) && !g.pressure.first(g.now, w.Priority):
-			g.turnAway(&w.Arrive, kind.Full)
+		case w.Aim.After(w.at) && !w.Aim.After(g.now) && !g.overload.first(g.now, w.Priority):
+			g.reject(&w.Arrive, kind.Full)
 		default:
 			kept = append(kept, w)
 		}
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -214,7 +214,7 @@
 	t.refused.Inc()
 	f := event.Fields{"trace": c.trace, "service": c.service, "priority": c.priority, "kind": string(r.Kind), "after": r.Wait.Milliseconds()}
 	if x != nil {
-		f["target"], f["load"] = x.addr, x.tellLoad(w.Header())
+		f["target"], f["load"] = x.addr, x.writeLoad(w.Header())
 	}
 	t.deps.Log.Call(event.RunRefused, f, false)
 	if r.Wait > 0 {
@@ -224,8 +224,8 @@
 	relay.Fail(w, r.Kind, kind.RanNo, r.After)
 }
 
-// tellLoad puts into a head how taken the target is, and returns that.
-func (x *target) tellLoad(h http.Header) string {
+// writeLoad puts into a head how taken the target is, and returns that.
+func (x *target) writeLoad(h http.Header) string {
 	x.mu.Lock()
 	load, usual := x.gate.Load(), x.gate.Usual()
 	x.mu.Unlock()
@@ -275,7 +275,7 @@
 	}
 	ended.Failed = res.StatusCode >= http.StatusInternalServerError
 	t.tell(c, x, ended.Took, strconv.Itoa(res.StatusCode), nil)
-	_ = x.tellLoad(w.Header())
+	_ = x.writeLoad(w.Header())
 	w.Header().Set(kind.HeaderRan, kind.RanYes.String())
 	out = relay.Answer(w, res, t.deps.Stall)
 	if out.Kind != kind.None {
@@ -357,7 +357,7 @@
 // time is left, and the name of the call.
 func (t *Targets) towardsTarget(r *http.Request, x *target, c call) http.Header {
 	h := make(http.Header, 4)
-	if id := t.lastSaid(x).ID; id != "" {
+	if id := t.lastAnnouncement(x).ID; id != "" {
 		h.Set(HeaderInstance, id)
 	}
 	for _, name := range []string{HeaderTrace, HeaderCaller} {
@@ -385,7 +385,7 @@
 	case kind.Broken:
 		t.lookForCrash(x, c)
 	}
-	_ = x.tellLoad(w.Header())
+	_ = x.writeLoad(w.Header())
 	relay.Fail(w, out.Kind, ran, 0)
 }
 
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -209,8 +209,8 @@
 	return out
 }
 
-// lastSaid is a target's last announcement.
-func (t *Targets) lastSaid(x *target) Announcement {
+// lastAnnouncement is a target's last announcement.
+func (t *Targets) lastAnnouncement(x *target) Announcement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return x.said
@@ -225,7 +225,7 @@
 	t.snap = s
 	t.mu.Unlock()
 	for _, x := range t.list() {
-		x.step(t.limits(t.lastSaid(x)))
+		x.step(t.limits(t.lastAnnouncement(x)))
 	}
 }
 
