--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -208,7 +208,7 @@
 	return order[(i+d.fails)%len(order)]
 }
 
-// topology dials what is wished for and closes what is not.
+// topology dials what is desired and closes what is not.
 func (h *Core) topology() {
 	if h.self.State == Leaving {
 		return
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -9,7 +9,7 @@
 
 // How old the last read of the head, by anybody, may grow before this node
 // reads it, by its place. The first of the list reads as a rule; the others
-// only notice that nobody else has, and so there is no duty to hand over.
+// only notice that nobody else has, and so the role needs no handover.
 const (
 	leadReads   = 1 * time.Second
 	rootReads   = 5 * time.Second
