peer: remember the notices of as many pollers as there may be hosts

In an outage each host may announce a poll. With 295 hosts the table of 256 was emptied again and again, and a notice that came back by another way was flooded once more.

--- a/briarrockd/peer/frame.go
+++ b/briarrockd/peer/frame.go
@@ -52,7 +52,7 @@
 	Seen    uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Fresh floods through the mesh: one poll at the platform, how long ago it was,
+// Fresh floods through the mesh: one poll of the platform, how long ago it was,
 // and which version was the newest then. Host, Incarnation and Serial name it, so
 // that each node passes it on once.
 type Fresh struct {
--- a/briarrockd/peer/message.go
+++ b/briarrockd/peer/message.go
@@ -67,7 +67,7 @@
 	Near int
 }
 
-// PollFailed says that this node's own poll at the platform had no answer.
+// PollFailed says that this node's own poll of the platform had no answer.
 type PollFailed struct{}
 
 // Committed says that a version is in the head: this node has put it there, or
@@ -148,7 +148,7 @@
 // ReadHead asks for the head row; the answer is HeadRead.
 type ReadHead struct{}
 
-// Watch says whether this node is to poll at the platform from now on, and how.
+// Watch says whether this node is to poll the platform from now on, and how.
 type Watch struct {
 	On bool
 	// Seen is the position in the platform's record of changes up to which this
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -55,7 +55,7 @@
 	return watch{startedAt: now, nextAt: now.Add(spread)}
 }
 
-// poll is one poll at the head, by this node or another one.
+// poll is one read of the head, by this node or another one.
 type poll struct {
 	version uint64 // the newest version at that time
 	seen    uint64 // position in the platform's record of changes
@@ -77,7 +77,7 @@
 	return h.now.Add(-time.Duration(ms) * time.Millisecond)
 }
 
-// heardFresh takes a peer's word of a poll at the head.
+// heardFresh takes a peer's word of a read of the head.
 //
 // The peer's version is at least the head of that time, so the word counts
 // only once this node has that version too.
--- a/briarrockd/peer/watchrole.go
+++ b/briarrockd/peer/watchrole.go
@@ -62,7 +62,7 @@
 	nearer    = 3
 	delayPart = 10
 	// maxPollers bounds the hosts whose polls are told apart.
-	maxPollers = 256
+	maxPollers = 2048
 	// fetchEvery is the least time between two versions that are fetched from
 	// peers: in a storm of changes a small node would do nothing else.
 	fetchEvery = 250 * time.Millisecond
@@ -125,7 +125,7 @@
 	return slices.ContainsFunc(h.carriers(h.self.Region), func(r *record) bool { return r.Host == h.self.Host })
 }
 
-// updateWatchRole decides whether this node is to poll at the platform, and how.
+// updateWatchRole decides whether this node is to poll the platform, and how.
 func (h *Core) updateWatchRole() {
 	if !h.cfg.HeadFed {
 		return
@@ -218,7 +218,7 @@
 	d.triedAt, d.pause = h.now, h.jitter(spareEvery*time.Duration(h.Members()))
 }
 
-// polled takes this node's own poll at the platform, which found nothing newer
+// polled takes this node's own poll of the platform, which found nothing newer
 // than what it has told.
 func (h *Core) polled(m Polled) {
 	h.watch.seen = max(h.watch.seen, m.Seen)
@@ -260,7 +260,8 @@
 	}
 }
 
-// broadcastTry tells the other nodes that this node begins to poll since nobody else seems to.
+// broadcastTry tells the other nodes that this one begins to poll since nobody else
+// seems to.
 func (h *Core) broadcastTry() {
 	f := h.ownNotice()
 	f.Try = true
@@ -273,7 +274,7 @@
 	return Fresh{Host: h.self.Host, Incarnation: h.self.Incarnation, Serial: d.notices, Region: h.self.Region}
 }
 
-// fresh takes a peer's notice of a poll at the platform, and passes it on.
+// fresh takes a peer's notice of a poll of the platform, and passes it on.
 //
 // Each poll counts once. Its age doesn't grow on its way over a link; if a poll
 // could come back to a node by another way it would seem younger each time, and
--- a/briarrockd/peer/watchrole_test.go
+++ b/briarrockd/peer/watchrole_test.go
@@ -37,7 +37,7 @@
 	return h, now
 }
 
-// beats steps a Core while its first peer tells of polls at the platform.
+// beats steps a Core while its first peer tells of polls of the platform.
 func beats(h *Core, now time.Time, d time.Duration, f Fresh) (time.Time, []Cmd) {
 	var out []Cmd
 	for end := now.Add(d); now.Before(end); {
