--- a/briarrockd/peer/watchrole.go
+++ b/briarrockd/peer/watchrole.go
@@ -136,7 +136,7 @@
 	if d.told && w.On == d.now.On && w.Wait == d.now.Wait && w.Spare == d.now.Spare {
 		return
 	}
-	if w.On && w.Spare && !(d.now.On && d.now.Spare) {
+	if w.On && w.Spare && (!d.now.On || !d.now.Spare) {
 		h.broadcastTry()
 	}
 	d.now, d.told = w, true
