peer: send freshness notices only of polls for others

Each starting node polls the platform to confirm its version, takes itself for a carrier until it knows the others, and told the whole mesh of each poll: notices grew with the square of the hosts, when they are shortest of time (p50 of calls 1.4 s there).

Change: only nodes that poll for others, carriers that have been up for a second and spare nodes, send notices, and only while they do.

--- a/briarrockd/peer/polls_test.go
+++ b/briarrockd/peer/polls_test.go
@@ -10,6 +10,11 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// carriersPer is how many freshness notices the carriers of two regions send in a second
+// at most: four of them, one while a poll waits and one for each poll of two seconds. Each
+// crosses a link once in each direction.
+const carriersPer = 6
+
 // Pauses of the fake watch loop after a poll that failed.
 const (
 	pollFails = 50 * time.Millisecond
@@ -23,6 +28,8 @@
 	c     *qt.C
 	hosts map[*fake]*poller
 	polls int
+	// notices counts the freshness notices that were sent over links.
+	notices int
 }
 
 // poller is the watch loop of a host's present process.
@@ -40,6 +47,11 @@
 	}
 	f := &fedFabric{fabric: newFabric(seed, eight, perDomain), c: c, hosts: make(map[*fake]*poller)}
 	f.watched = f.turn
+	f.seen = func(word string, _ *fake) {
+		if word == "fresh" {
+			f.notices++
+		}
+	}
 	for _, x := range f.nodes {
 		x.cfg.HeadFed = true
 		x.cfg.StoreRegion = places[0].Region
@@ -170,7 +182,7 @@
 	if d.HasArg("most") {
 		d.ScanArgs(t, "most", &most)
 	}
-	before := f.polls
+	before, notices := f.polls, f.notices
 	switch d.Cmd {
 	case "start":
 		f.change()
@@ -193,6 +205,13 @@
 		}
 	case "change":
 		f.change()
+	case "herd":
+		for _, x := range f.nodes {
+			f.kill(x)
+		}
+		for _, x := range f.nodes {
+			f.start(x)
+		}
 	case "restart":
 		for _, x := range f.nodes {
 			if !x.alive {
@@ -204,6 +223,8 @@
 	switch {
 	case d.HasArg("most") && f.polls-before > most:
 		return fmt.Sprintf("%d polls", f.polls-before)
+	case d.HasArg("notices") && f.notices-notices > carriersPer*span*len(f.links):
+		return fmt.Sprintf("%d notices over %d links", f.notices-notices, len(f.links)/2)
 	case d.HasArg("in-force") && f.lagging() > 0:
 		return fmt.Sprintf("%d hosts lag", f.lagging())
 	}
--- a/briarrockd/peer/watchrole.go
+++ b/briarrockd/peer/watchrole.go
@@ -28,6 +28,8 @@
 	// announceEvery is how often a node that watches says so while its poll waits
 	// for a change: others notice within lapseAfter that it has gone.
 	announceEvery = time.Second
+	// announceAfter is the time in which a starting node gets to know the others.
+	announceAfter = time.Second
 	// announceFor is the age of its last answered poll up to which it does. A poll
 	// that is overdue has most likely met a silent connection.
 	announceFor = watchShort + time.Second
@@ -239,15 +241,19 @@
 	}
 }
 
-// broadcastPoll tells the other nodes of this node's own poll.
+// broadcastPoll tells the other nodes of this node's own poll, if it polls for them. A
+// herd of starting nodes polls as well, each for itself, and takes itself for a carrier
+// until it knows the others: notices of that would grow with the square of the hosts.
 func (h *Core) broadcastPoll(at time.Time) {
-	if !h.cfg.HeadFed || h.allWatch() {
+	d := &h.watch.role
+	forOthers := d.now.Spare || (d.now.Wait > 0 && h.now.Sub(h.watch.startedAt) >= announceAfter)
+	if !h.cfg.HeadFed || h.allWatch() || !d.now.On || !forOthers {
 		return
 	}
-	h.watch.role.announcedAt = h.now
+	d.announcedAt = h.now
 	f := h.ownNotice()
 	f.Version, f.Seen, f.Age = h.version.number, h.watch.seen, age(h.now, at)
-	f.Delay = uint64(h.watch.role.delay.Milliseconds())
+	f.Delay = uint64(d.delay.Milliseconds())
 	h.floodFresh(0, f)
 }
 
