caller: check once whether a node still starts; drop what the fleet test no longer uses

The fleet test kept silent targets from the trial of probes, which no line of its script plays. A doc comment named its type wrongly. Behaviour and assertions are the same.

--- a/briarrockd/caller/fleet_test.go
+++ b/briarrockd/caller/fleet_test.go
@@ -67,7 +67,6 @@
 	gate   *target.Gate
 	pace   float64
 	calls  map[target.CallID]func(target.Cmd)
-	gone   bool // it neither replies nor answers
 	starts int
 }
 
@@ -94,7 +93,7 @@
 	counted time.Time
 }
 
-func newFleet(nodes int, policy string, silent float64) *fleet {
+func newFleet(nodes int, policy string) *fleet {
 	f := &fleet{rng: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1000, 0), servers: make(map[string]*server), policy: policy}
 	f.counted = f.now.Add(fleetWarm)
 	var members []peer.Member
@@ -107,7 +106,7 @@
 		})
 		f.servers[host] = &server{
 			gate: target.NewGate(target.Limits{Slots: fleetSlots, Queue: 2 * fleetSlots}), pace: fleetPace[i/fleetDomains%len(fleetPace)],
-			calls: make(map[target.CallID]func(target.Cmd)), gone: f.rng.Float64() < silent,
+			calls: make(map[target.CallID]func(target.Cmd)),
 		}
 	}
 	s := &snapshot.Snapshot{Services: []snapshot.Service{{Name: fleetService, Slots: fleetSlots}}}
@@ -195,7 +194,7 @@
 	for _, u := range f.set {
 		s := f.servers[u.host]
 		cost := s.pace * (1 + max(0, s.gate.Load()-1+1.0/fleetSlots))
-		if s.gone && f.now.After(f.counted) || slices.Contains(tried, u.host) {
+		if slices.Contains(tried, u.host) {
 			continue
 		}
 		u.far = ch.tier(&u) == tierCount-1
@@ -213,13 +212,6 @@
 func (c *fleetCall) reach(u upstream, hop time.Duration) {
 	f := c.f
 	s := f.servers[u.host]
-	if s.gone && f.now.After(f.counted) {
-		f.at(c.began.Add(fleetLimit), func() {
-			c.ch.done(f.now, fleetService, u.host, Feedback{Load: -1, Failed: true})
-			c.end(false)
-		})
-		return
-	}
 	f.lastID++
 	id := f.lastID
 	s.calls[id] = func(cmd target.Cmd) {
@@ -311,17 +303,14 @@
 func TestFleet(t *testing.T) {
 	datadriven.RunTest(t, "testdata/fleet", func(t *testing.T, d *datadriven.TestData) string {
 		c := qt.New(t)
-		nodes, load, silent := 0, 0, 0
+		nodes, load := 0, 0
 		d.ScanArgs(t, "nodes", &nodes)
 		d.ScanArgs(t, "load", &load)
-		if d.HasArg("silent") {
-			d.ScanArgs(t, "silent", &silent)
-		}
 		policies := []string{"reported", "oracle"}
 		got := make([]tally, len(policies))
 		var wg sync.WaitGroup
 		for i, policy := range policies {
-			wg.Go(func() { got[i] = newFleet(nodes, policy, float64(silent)/100).play(float64(load) / 100) })
+			wg.Go(func() { got[i] = newFleet(nodes, policy).play(float64(load) / 100) })
 		}
 		wg.Wait()
 		for i, policy := range policies {
--- a/briarrockd/caller/start.go
+++ b/briarrockd/caller/start.go
@@ -51,12 +51,8 @@
 	return s.next
 }
 
-// hold waits until ready holds, for a part of the time that a call has left. The node
-// may do so only while it starts.
+// hold waits until ready holds, for a part of the time that a call has left.
 func (s *starting) hold(ctx context.Context, left time.Duration, ready func() bool) {
-	if s.over() {
-		return
-	}
 	timer := time.NewTimer(min(holdFor, left/holdShare))
 	defer timer.Stop()
 	for {
--- a/briarrockd/peer/polls_test.go
+++ b/briarrockd/peer/polls_test.go
@@ -21,7 +21,7 @@
 	pollAgain = time.Second
 )
 
-// fed is a fabric whose hosts poll the platform only when their Cores say so, as
+// fedFabric is a fabric whose hosts poll the platform only when their Cores say so, as
 // the platform's adapter does.
 type fedFabric struct {
 	*fabric
