caller, target: run the calls of runs before new work

Cause: a run that waits for a call of its own holds a slot, and is lost if that call is refused.

A call is nested if its name is that of a call which a target of this host runs now, a dot and more; it gets the highest priority. Names of calls that don't run here give nothing, so no caller can claim it.

Ways: by the remote address (refused: callers and targets share the host's); by the name (kept); no difference (before).

--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -53,6 +53,9 @@
 	Scheme string
 	// Suspicion tells how often a request has been in flight at a crash.
 	Suspicion func(mark uint64) int
+	// Runs tells whether a target of this host runs a call of a name now; nil for
+	// a node that has no targets.
+	Runs func(trace string) bool
 	// Caller finds out who calls, by the request's headers; false if it is
 	// nobody who may.
 	Caller  func(h http.Header) (string, bool)
@@ -137,6 +140,8 @@
 	// aim is when the answer loses most of its worth; zero if the route says
 	// nothing.
 	aim time.Time
+	// nested is set for a call that a target of this host makes for one that it runs.
+	nested bool
 	// returns is set for a caller that seems to have been refused before.
 	returns   bool
 	body      []byte // kept to be sent again; nil for none or a streamed one
@@ -212,6 +217,7 @@
 		return c, refusal{kind: k}
 	}
 	c.set = c.table.sets[c.service.Name]
+	p.promote(c)
 	var ok bool
 	c.caller, ok = p.deps.Caller(r.Header)
 	if !ok || !c.route.Allows(c.caller) {
@@ -238,6 +244,18 @@
 	return c, refusal{}
 }
 
+// promote gives the highest priority to a call that a run of this host's target waits
+// for: if it is refused, all that was done for the run is lost. The name must be that
+// of a call which runs here, so that no caller can claim it.
+func (p *Proxy) promote(c *call) {
+	parent, ok := target.Parent(c.trace)
+	if !ok || p.deps.Runs == nil || !p.deps.Runs(parent) {
+		return
+	}
+	c.nested = true
+	c.route.Priority = snapshot.MostUrgent
+}
+
 // setAim works out until when the answer is worth most, and whether the caller seems
 // to have been refused before.
 func (p *Proxy) setAim(c *call) {
--- /dev/null
+++ b/briarrockd/target/nested_test.go
@@ -0,0 +1,31 @@
+package target
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestRuns guards against calls of runs that are not known as such, and against callers
+// who name a request like one: only the name of a call that runs here counts.
+func TestRuns(t *testing.T) {
+	c := qt.New(t)
+	x := &Targets{traces: make(map[string]int)}
+	first, second := x.track("a"), x.track("a")
+	c.Check(x.Runs("a"), qt.IsTrue)
+	c.Check(x.Runs("b"), qt.IsFalse)
+	first()
+	c.Check(x.Runs("a"), qt.IsTrue)
+	second()
+	c.Check(x.Runs("a"), qt.IsFalse)
+	c.Check(x.traces, qt.HasLen, 0)
+}
+
+func TestParent(t *testing.T) {
+	c := qt.New(t)
+	for trace, want := range map[string]string{"a.b": "a", "a.b.c": "a.b", "a": "", ".b": "", "": ""} {
+		parent, ok := Parent(trace)
+		c.Check(parent, qt.Equals, want, qt.Commentf("%q", trace))
+		c.Check(ok, qt.Equals, want != "", qt.Commentf("%q", trace))
+	}
+}
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -240,6 +240,7 @@
 // run passes a call that the gate has started on to its target.
 func (t *Targets) run(w http.ResponseWriter, r *http.Request, x *target, id CallID, c call) {
 	t.started.Inc()
+	defer t.track(c.trace)()
 	ended := Ended{ID: id, Route: c.route}
 	defer func() { x.step(ended) }()
 	began := time.Now()
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -118,6 +118,8 @@
 	// configured is closed with the first version.
 	configured chan struct{}
 
+	// traces counts the calls of each name that targets run now.
+	traces map[string]int
 	// left are the targets that have said that they leave, by their ID, with
 	// the time of their start.
 	left map[string]int64
@@ -165,8 +167,10 @@
 	t := &Targets{
 		deps: d,
 		all:  make(map[string]*target),
-		left: make(map[string]int64),
-		done: make(chan struct{}),
+
+		traces: make(map[string]int),
+		left:   make(map[string]int64),
+		done:   make(chan struct{}),
 
 		configured: make(chan struct{}),
 		started:    d.Metrics.GetOrCreateCounter("briarrock_target_calls_total"),
