caller, relay: hold bodies back while a service is overloaded

Callers came back, and the state outlasted the burst that had caused it.

For half a second after an upstream had no room, any body is sent only when the target's node asks for it, as those above 16 KB are always. A request whose body nobody has asked for has not run, so its caller gets a true 503 instead of a 504; the target's node reads a short body before it sends anything to the target.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -48,11 +48,12 @@
 func (p *Proxy) try(ctx context.Context, c *call, u upstream) attempt {
 	p.attempts.Inc()
 	body, length := c.payload()
+	held := p.holdsBody(c)
 	res, out := relay.Send(ctx, relay.Call{
 		In: c.r, URL: relay.Toward(&url.URL{Scheme: p.deps.Scheme, Host: u.addr}, c.r), Host: c.r.Host,
-		Add: c.towardsNode(u), Body: body, Length: length, Transport: p.deps.Transport, Stall: p.deps.Stall,
+		Add: c.towardsNode(u, held), Body: body, Length: length, Transport: p.deps.Transport, Stall: p.deps.Stall,
 		Deadline: c.deadline.Add(deadlineSlack), Streamed: c.streamed,
-		Once: c.route.Mode == snapshot.Once,
+		Once: c.route.Mode == snapshot.Once, Withheld: held && !c.streamed,
 	})
 	a := attempt{res: res, host: u.host, kind: out.Kind, err: out.Err}
 	if res != nil {
@@ -116,7 +117,15 @@
 // about the same time.
 func (c *call) routeName() string { return cmp.Or(c.entry, c.route.Name()) }
 
-func (c *call) towardsNode(u upstream) http.Header {
+// holdsBody tells whether a call's body is held back until the target's node asks for
+// it. In an overload a body of any length is: most calls are refused, and their bodies
+// would take up the links.
+func (p *Proxy) holdsBody(c *call) bool {
+	n := c.r.ContentLength
+	return n < 0 || n > expectAbove || n > 0 && p.deps.Chooser.overloaded(time.Now(), c.service.Name, c.set)
+}
+
+func (c *call) towardsNode(u upstream, held bool) http.Header {
 	h := make(http.Header, 6)
 	h.Set(target.HeaderService, c.service.Name)
 	h.Set(target.HeaderDeadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 0), 10))
@@ -133,7 +142,7 @@
 	if !c.aim.IsZero() {
 		h.Set(target.HeaderAim, strconv.FormatInt(time.Until(c.aim).Milliseconds(), 10))
 	}
-	if c.r.ContentLength < 0 || c.r.ContentLength > expectAbove {
+	if held {
 		h.Set("Expect", http1.Continue)
 		h.Set(http1.HeaderHeld, "yes")
 	}
--- a/briarrockd/relay/relay.go
+++ b/briarrockd/relay/relay.go
@@ -70,6 +70,10 @@
 	Once bool
 	// Deadline is when the answer's head must be there.
 	Deadline time.Time
+	// Withheld is set for a request of which the other side passes nothing on before
+	// it has asked for the body and got it. It has not been sent as long as nothing of
+	// the body has.
+	Withheld bool
 	// Streamed is set for a body whose sending may take any time as long as
 	// it moves: the time until Deadline then counts from the body's end.
 	Streamed bool
@@ -125,7 +129,7 @@
 	}
 	timer.Stop()
 	if err != nil {
-		out := w.outcome(ctx, err)
+		out := w.outcome(ctx, err, w.sent() && !(c.Withheld && g != nil && !g.begun.Load()))
 		cancel(nil)
 		return nil, out
 	}
@@ -210,8 +214,7 @@
 	return c != nil && c.written.Load() > w.before.Load()
 }
 
-func (w *watch) outcome(ctx context.Context, err error) Outcome {
-	sent := w.sent()
+func (w *watch) outcome(ctx context.Context, err error, sent bool) Outcome {
 	out := Outcome{Sent: sent, Err: err, Kind: kind.Refused}
 	cause := context.Cause(ctx)
 	switch {
@@ -363,6 +366,7 @@
 	d     time.Duration
 	// ended is called when the body has been read to its end.
 	ended func()
+	begun atomic.Bool
 	over  atomic.Bool
 }
 
@@ -372,6 +376,7 @@
 
 // Read implements io.Reader.
 func (g *guard) Read(p []byte) (int, error) {
+	g.begun.Store(true)
 	n, err := g.ReadCloser.Read(p)
 	switch {
 	case err == nil:
--- /dev/null
+++ b/briarrockd/target/held_test.go
@@ -0,0 +1,72 @@
+package target
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"briarrock.example/briarrockd/http1"
+	"briarrock.example/briarrockd/peer"
+	"briarrock.example/mesh/event"
+	"briarrock.example/mesh/kind"
+)
+
+// counting is a transport to a target that answers each request.
+type counting struct{ requests int }
+
+// RoundTrip implements http.RoundTripper.
+func (s *counting) RoundTrip(req *http.Request) (*http.Response, error) {
+	s.requests++
+	b, err := io.ReadAll(req.Body)
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: make(http.Header), Request: req,
+		Body: io.NopCloser(strings.NewReader(string(b))), ContentLength: int64(len(b)),
+	}, err
+}
+
+// lost is a body whose caller has gone.
+type lost struct{}
+
+// Read implements io.Reader.
+func (lost) Read([]byte) (int, error) { return 0, errors.New("lost") }
+
+// TestBodyFirst guards against a request that runs although its caller's node has been
+// told that it has not: a body that was held back is there before anything is sent to
+// the target.
+func TestBodyFirst(t *testing.T) {
+	c := qt.New(t)
+	tr := new(counting)
+	x := New(Deps{
+		Changed: func([]peer.Target) {}, Suspicion: func(uint64) int { return 0 },
+		Log: event.New(io.Discard, true, logrus.ErrorLevel, "h"), Stall: time.Minute, Silent: time.Hour,
+		Dialect: func(http.RoundTripper) http.RoundTripper { return tr },
+	})
+	defer x.Close()
+	x.Configure(posting)
+	x.Heard(Announcement{Service: "posting", Addr: address, Slots: 1, State: StateUp})
+	send := func(body io.Reader) *httptest.ResponseRecorder {
+		r := httptest.NewRequest(http.MethodPost, "/", body)
+		r.ContentLength = 5
+		r.Header.Set(HeaderService, "posting")
+		r.Header.Set(HeaderDeadline, "1000")
+		r.Header.Set(http1.HeaderHeld, "yes")
+		w := httptest.NewRecorder()
+		x.ServeHTTP(w, r)
+		return w
+	}
+	for range 2 { // the slot is free again
+		w := send(lost{})
+		c.Check(tr.requests, qt.Equals, 0)
+		c.Check(kind.ParseRan(w.Header().Get(kind.HeaderRan)), qt.Equals, kind.RanNo)
+	}
+	w := send(strings.NewReader("order"))
+	c.Check(tr.requests, qt.Equals, 1)
+	c.Check(w.Body.String(), qt.Equals, "order")
+}
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"briarrock.example/briarrockd/http1"
 	"briarrock.example/briarrockd/peer"
 	"briarrock.example/briarrockd/relay"
 	"briarrock.example/mesh/event"
@@ -180,11 +182,31 @@
 		t.refuse(w, c, x, refuse)
 		return
 	}
+	if !t.take(w, r, x, id, c) {
+		return
+	}
 	c.waited = time.Since(now)
 	t.waited.Update(c.waited.Seconds())
 	t.run(w, r, x, id, c)
 }
 
+// take reads a short body that the caller's node has held back before anything of its
+// request goes to the target: without it, the request has not run. It returns false if
+// the body did not come.
+func (t *Targets) take(w http.ResponseWriter, r *http.Request, x *target, id CallID, c call) bool {
+	if r.Header.Get(http1.HeaderHeld) == "" || relay.IsStreamed(r) {
+		return true
+	}
+	b := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, b); err != nil {
+		x.step(Ended{ID: id, Route: c.route})
+		t.refuse(w, c, x, Refuse{Kind: kind.Cancel})
+		return false
+	}
+	r.Body = io.NopCloser(bytes.NewReader(b))
+	return true
+}
+
 // find is the least taken target of a service on this host.
 func (t *Targets) find(service string) *target {
 	var best *target
