target, caller: keep the slots of targets that shed at any load

The limiter now compares the share that is shed at low and at high load, and goes down only if the load makes the difference (or little is shed at low load). Retries of what a target refused are made for calls of runs, and for others only while the budget is nearly full.

Ways: limit by each refusal (before), by load (kept).

--- a/briarrockd/caller/budget.go
+++ b/briarrockd/caller/budget.go
@@ -50,15 +50,15 @@
 // retry takes one retry out of the budget; false if there is none.
 func (b *Budget) retry(service string) bool { return b.take(service, 1) }
 
-// spareForHedge is how much of the budget may be missing for a hedge: retries of
-// what has certainly failed go first.
-const spareForHedge = 0.25
+// maxSpent is how much of the budget may be missing for a retry that can be done without:
+// those of calls which are lost otherwise go first.
+const maxSpent = 0.25
 
-// hedge takes one attempt that may turn out needless out of the budget, if that
-// is nearly full.
-func (b *Budget) hedge(service string) bool {
+// spare takes one retry that can be done without out of the budget, if that is nearly
+// full.
+func (b *Budget) spare(service string) bool {
 	b.mu.Lock()
-	least := b.most - spareForHedge
+	least := b.most - maxSpent
 	b.mu.Unlock()
 	return b.take(service, max(1, least))
 }
--- a/briarrockd/caller/retry.go
+++ b/briarrockd/caller/retry.go
@@ -215,6 +215,10 @@
 	if !mayRetry(a.kind, a.ran, c.route.Mode, c.replayable()) {
 		return false
 	}
+	if a.reached && a.ran == kind.RanNo && !c.nested {
+		// Its caller can come back by itself; runs and their calls can't.
+		return x.p.deps.Budget.spare(x.c.service.Name)
+	}
 	if a.reached {
 		return x.affordsRun()
 	}
@@ -275,7 +279,7 @@
 	if x.p.deps.Chooser.overloaded(time.Now(), x.c.service.Name, x.c.set) {
 		return
 	}
-	if x.hedged || x.inFlight == 0 || !x.mayRun() || !x.p.deps.Budget.hedge(x.c.service.Name) {
+	if x.hedged || x.inFlight == 0 || !x.mayRun() || !x.p.deps.Budget.spare(x.c.service.Name) {
 		return
 	}
 	x.hedged = true
--- a/briarrockd/target/limiter.go
+++ b/briarrockd/target/limiter.go
@@ -26,6 +26,13 @@
 	recoverAfter = time.Second
 	// quietShare is the part of the limit up to which load counts as low.
 	quietShare = 0.5
+	// shedWeight is the weight of the newest call in the shares that are shed, and
+	// shedByLoad how many times as many must be shed at high load as at low load for
+	// the load to be taken for the cause.
+	shedWeight = 0.05
+	shedByLoad = 2
+	// minShedQuiet is the share that must be shed at low load for it to count.
+	minShedQuiet = 0.2
 	// slownessWeight is the weight of the newest call in the slowness.
 	slownessWeight = 0.1
 )
@@ -41,6 +48,9 @@
 	// calls took; 0 if not known.
 	slowness float64
 	shrankAt time.Time
+	// shedQuiet and shedBusy are the shares of the calls that the target refuses by
+	// itself at low and at high load.
+	shedQuiet, shedBusy float64
 }
 
 // reset begins anew with all slots. A target that has just started and is slow
@@ -54,8 +64,11 @@
 // included.
 func (l *limiter) ended(now time.Time, m Ended, running, slots int) {
 	full := running >= l.value()
+	l.observeShed(m.Shed, float64(running) <= quietShare*float64(slots))
 	if m.Shed {
-		l.lower(now, floorShare*float64(slots))
+		if l.shedQuiet < minShedQuiet || l.shedBusy >= shedByLoad*l.shedQuiet {
+			l.lower(now, floorShare*float64(slots))
+		}
 		return
 	}
 	if m.Failed || m.Took <= 0 {
@@ -73,6 +86,20 @@
 	}
 }
 
+// observeShed notes whether the target refused a call. One that refuses as many at low
+// load does so for another reason, and a lower limit would only cost room.
+func (l *limiter) observeShed(shed, quiet bool) {
+	x := 0.0
+	if shed {
+		x = 1
+	}
+	share := &l.shedBusy
+	if quiet {
+		share = &l.shedQuiet
+	}
+	*share += shedWeight * (x - *share)
+}
+
 // lower takes the limit down by a step, though not below a floor.
 func (l *limiter) lower(now time.Time, floor float64) {
 	if now.Sub(l.shrankAt) < shrinkEvery {
