target, caller: spread the return of refused callers by how many are refused

The more of a priority's calls a gate refuses, the more of the time in which the call could still be answered within its aim it asks for; the entry draws a time around that, so that those who were refused together don't return together.

--- a/briarrockd/caller/retry.go
+++ b/briarrockd/caller/retry.go
@@ -100,6 +100,10 @@
 	}
 }
 
+// spread draws a time around one, so that callers who are refused together don't
+// return together.
+func spread(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
 // fullAgain is when to ask again for a service that is known to have no room.
 // In this time as many requests end as fill the queues anew; twice the range
 // spreads the return of those who were refused together.
@@ -165,8 +169,8 @@
 	if a.kind != kind.None {
 		x.drop(a)
 		a.ran = x.worse(a.ran)
-		if a.ran == kind.RanNo {
-			a.after = x.after
+		if a.ran == kind.RanNo && x.after > 0 {
+			a.after = spread(x.after)
 		}
 	}
 	return true
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -114,13 +114,7 @@
 	g.queueMax = max(0, l.Queue)
 }
 
-func (g *Gate) refuse(id CallID, k kind.Kind) {
-	wait := time.Duration(0)
-	if k == kind.Full || k == kind.Limit {
-		wait = max(g.wait(0, snapshot.MostUrgent), minWait)
-	}
-	g.refuseFor(id, k, wait)
-}
+func (g *Gate) refuse(id CallID, k kind.Kind) { g.refuseFor(id, k, 0) }
 
 // refuseFor refuses a call that is not worth asking for again before wait is over;
 // 0 if nobody knows.
@@ -137,7 +131,19 @@
 	if !a.Far {
 		g.overload.refused(g.now, a.Priority)
 	}
-	g.refuse(a.ID, k)
+	g.refuseFor(a.ID, k, g.again(a))
+}
+
+// again is when a call that is refused for want of room is worth asking for again. The
+// more calls are refused, the more of the time in which it could still be answered
+// within its aim is used: callers who return at once meet the same overload.
+func (g *Gate) again(a *Arrive) time.Duration {
+	spare := a.Aim.Sub(g.now) - time.Duration(workSpread*float64(g.limit.work.of(a.Route)))
+	if a.Aim.IsZero() {
+		spare = 0
+	}
+	share := g.overload.share[a.Priority]
+	return max(g.wait(0, snapshot.MostUrgent), minWait, time.Duration(share*float64(spare)))
 }
 
 // Usual is how long a call takes as a rule; 0 before any has ended.
