target: let calls of routes with short aims wait for their turn

A call was queued only for what its aim leaves beside twice its usual work. Where a route's work, the calls of its runs included, takes half of its aim, it was refused whenever another one waited. At least half of what lies beyond the usual work may be waited now; routes whose aim is three times their work or more see no difference.

Ways: twice the work (before); half of the rest (kept).

--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -138,12 +138,12 @@
 // more calls are refused, the more of the time in which it could still be answered
 // within its aim is used: callers who return at once meet the same overload.
 func (g *Gate) again(a *Arrive) time.Duration {
-	spare := a.Aim.Sub(g.now) - time.Duration(workSpread*float64(g.limit.work.of(a.Route)))
+	again := max(g.wait(0, snapshot.MostUrgent), minWait)
 	if a.Aim.IsZero() {
-		spare = 0
+		return again
 	}
-	share := g.overload.share[a.Priority]
-	return max(g.wait(0, snapshot.MostUrgent), minWait, time.Duration(share*float64(spare)))
+	left := float64(spare(a.Aim.Sub(g.now), g.limit.work.of(a.Route)))
+	return max(again, time.Duration(g.overload.share[a.Priority]*left))
 }
 
 // Usual is how long a call takes as a rule; 0 before any has ended.
@@ -159,7 +159,7 @@
 func (g *Gate) arrive(m Arrive) {
 	m.Priority = min(m.Priority, snapshot.MostUrgent)
 	if !m.Aim.IsZero() {
-		g.reserve.arrived(m.Priority, m.Aim.Sub(g.now)-time.Duration(workSpread*float64(g.limit.work.of(m.Route))))
+		g.reserve.arrived(m.Priority, spare(m.Aim.Sub(g.now), g.limit.work.of(m.Route)))
 	}
 	switch {
 	case g.draining:
--- a/briarrockd/target/queue.go
+++ b/briarrockd/target/queue.go
@@ -23,6 +23,8 @@
 	// work when it is asked whether it will be in time: work varies, and most
 	// calls end within this.
 	workSpread = 2.0
+	// minSpare is the least part of the time beyond the usual work that a call may wait.
+	minSpare = 0.5
 	// minQueue is how many may wait in any case: with none, a slot that comes
 	// free stays so until the next call happens to arrive.
 	minQueue = 1
@@ -47,8 +49,14 @@
 	if ahead < minQueue || g.overload.first(g.now, m.Priority) {
 		return !g.now.Add(wait + work).After(m.Deadline)
 	}
-	spare := m.Aim.Sub(g.now) - time.Duration(workSpread*float64(work))
-	return wait <= time.Duration(g.overload.patience(m.Priority)*float64(spare))
+	return wait <= time.Duration(g.overload.patience(m.Priority)*float64(spare(m.Aim.Sub(g.now), work)))
+}
+
+// spare is how much of the time until its aim a call has for waiting. Most work ends
+// within workSpread times the usual time; where the aim is not that far off, half of what
+// lies beyond the usual time is left.
+func spare(left, work time.Duration) time.Duration {
+	return max(left-time.Duration(workSpread*float64(work)), time.Duration(minSpare*float64(left-work)))
 }
 
 // expected is how many calls go before one that arrives, and how long it is
