--- a/briarrockd/caller/chain_test.go
+++ b/briarrockd/caller/chain_test.go
@@ -38,17 +38,16 @@
 	mode          snapshot.Mode
 	priority      snapshot.Priority
 	// rate is its part of the callers' requests; 0 for one that only runs make.
-	rate           float64
-	work           time.Duration
-	spread         float64 // of the logarithm of the work
-	aim            time.Duration
-	deadline       time.Duration // the route's
-	limit          time.Duration // the caller's
-	worth          float64       // of an answer within the aim
-	calls          string        // the route that runs call, if any
-	times          int
-	callShare      float64
-	slots, targets int // of its service
+	rate      float64
+	work      time.Duration
+	spread    float64 // of the logarithm of the work
+	aim       time.Duration
+	deadline  time.Duration // the route's
+	limit     time.Duration // the caller's
+	worth     float64       // of an answer within the aim
+	calls     string        // the route that runs call, if any
+	times     int
+	callShare float64
 }
 
 const chainLate = 0.3 // the part of its worth that a late answer keeps
--- a/briarrockd/relay/relay.go
+++ b/briarrockd/relay/relay.go
@@ -129,7 +129,7 @@
 	}
 	timer.Stop()
 	if err != nil {
-		out := w.outcome(ctx, err, w.sent() && !(c.Withheld && g != nil && !g.begun.Load()))
+		out := w.outcome(ctx, err, w.sent() && !c.isWithheld(g))
 		cancel(nil)
 		return nil, out
 	}
@@ -137,6 +137,9 @@
 	return res, Outcome{Sent: true}
 }
 
+// isWithheld tells whether the other side still waits for the body, whose guard is g.
+func (c *Call) isWithheld(g *guard) bool { return c.Withheld && g != nil && !g.begun.Load() }
+
 func request(ctx context.Context, c Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, c.In.Method, c.URL.String(), nil)
 	if err != nil {
