--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -107,7 +107,7 @@
 		f.Usual = time.Duration(ms) * time.Millisecond
 	}
 	f.Failed = a.kind == kind.Refused || a.kind == kind.Broken || a.kind == kind.Late
-	f.Poor = a.kind == kind.Shed || a.failure()
+	f.TargetFailed = a.kind == kind.Shed || a.failure()
 	f.Leaving = a.kind == kind.Drain
 	f.Full, f.Again = a.kind == kind.Full, a.after
 	return f
--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -147,7 +147,7 @@
 
 func (c *Chooser) best(v *view, tried []string, priority snapshot.Priority) (upstream, bool) {
 	usable := v.usable(tried, priority)
-	unit := v.unit(usable)
+	typicalLatency := v.typicalLatency(usable)
 	samples := calmSamples
 	if v.anyOverloaded() {
 		samples = overloadSamples
@@ -160,7 +160,7 @@
 	best, found, least := 0, false, 0.0
 	for t, list := range tiers {
 		for _, i := range c.sample(list, samples) {
-			cost := v.cost(i, unit) + [tierCount]float64{0, farDomain, farRegion}[t]
+			cost := v.cost(i, typicalLatency) + [tierCount]float64{0, farDomain, farRegion}[t]
 			if !found || cost < least {
 				best, found, least = i, true, cost
 			}
@@ -172,9 +172,9 @@
 	return v.set[best], true
 }
 
-// unit is the time that a request takes as a rule at the service: the median
+// typicalLatency is the time that a request takes as a rule at the service: the median
 // of what some of its upstreams say, 0 if none has.
-func (v *view) unit(list []int) time.Duration {
+func (v *view) typicalLatency(list []int) time.Duration {
 	known := make([]time.Duration, 0, len(list))
 	for _, i := range list {
 		if s := v.states[i]; s != nil && s.usual > 0 {
@@ -226,18 +226,18 @@
 
 // cost is what a request at an upstream is expected to cost, its distance
 // aside, in units of the service's usual time.
-func (v *view) cost(i int, unit time.Duration) float64 {
+func (v *view) cost(i int, typicalLatency time.Duration) float64 {
 	s := v.states[i]
 	if s == nil {
 		return 0
 	}
 	pace := 1.0
-	if unit > 0 && s.usual > 0 {
-		pace = float64(s.usual) / float64(unit)
+	if typicalLatency > 0 && s.usual > 0 {
+		pace = float64(s.usual) / float64(typicalLatency)
 	}
 	cost := pace*(1+waitCost(s.expected(v.now, v.set[i].slots))) - 1
-	poor := s.degraded(v.now)
-	cost += failCost * poor * poor
+	rate := s.degraded(v.now)
+	cost += failCost * rate * rate
 	if s.stalled(v.now) {
 		cost += stallCost
 	}
--- a/briarrockd/caller/state.go
+++ b/briarrockd/caller/state.go
@@ -27,8 +27,8 @@
 	Failed bool
 	// Unreached is set when the target's node could not be connected to.
 	Unreached bool
-	// Poor is set for an answer that was a failure of the target.
-	Poor bool
+	// TargetFailed is set for an answer that was a failure of the target.
+	TargetFailed bool
 	// Leaving is set when the target's node said that the target leaves.
 	Leaving bool
 	// Full is set when the target's node had no room for a call of Priority, and
@@ -47,12 +47,12 @@
 	since int
 	usual time.Duration
 	// stalledSince is since when attempts have been under way with nothing back.
-	stalledSince time.Time
-	poor         float64 // share of the attempts that failed, at poorAt
-	poorAt       time.Time
-	fails        int
-	ejected      int // times in a row
-	until        time.Time
+	stalledSince  time.Time
+	failureRate   float64 // share of the attempts that failed, at failureRateAt
+	failureRateAt time.Time
+	fails         int
+	ejected       int // times in a row
+	until         time.Time
 	// leaving is until when the upstream is left alone since it said that it
 	// leaves; by then the members' records say so too.
 	leaving time.Time
@@ -134,15 +134,15 @@
 		s.stalledSince = now
 	}
 	bad := 0.0
-	if f.Failed || f.Poor {
+	if f.Failed || f.TargetFailed {
 		bad = 1
 	}
-	poor := s.degraded(now)
-	s.poor = poor + failPart*(bad-poor)
-	s.poorAt = now
+	rate := s.degraded(now)
+	s.failureRate = rate + failPart*(bad-rate)
+	s.failureRateAt = now
 }
 
 // degraded is the share of the attempts that failed, fading with age.
 func (s *state) degraded(now time.Time) float64 {
-	return s.poor / (1 + float64(now.Sub(s.poorAt))/float64(failHalf))
+	return s.failureRate / (1 + float64(now.Sub(s.failureRateAt))/float64(failHalf))
 }
--- a/briarrockd/http1/link.go
+++ b/briarrockd/http1/link.go
@@ -18,11 +18,11 @@
 const (
 	// maxAnswerHead bounds the head of an answer.
 	maxAnswerHead = 64 << 10
-	// maxStrangers is how many answers to other requests are dropped before a
+	// maxUnsolicited is how many answers to other requests are dropped before a
 	// connection is given up.
-	maxStrangers = 4
-	// maxStranger bounds the body of an answer that is dropped.
-	maxStranger = 1 << 20
+	maxUnsolicited = 4
+	// maxUnsolicitedBody bounds the body of an answer that is dropped.
+	maxUnsolicitedBody = 1 << 20
 	// keepMargin is how much sooner than the other side a connection is closed:
 	// a request that is sent just as the other side closes may or may not have
 	// been read.
@@ -359,7 +359,7 @@
 // request is dropped: its sender has answered twice, or too late.
 func (l *link) readAnswer(x *trip) (*http.Response, error) {
 	req := x.req
-	for range maxStrangers {
+	for range maxUnsolicited {
 		res, err := l.readOne(x)
 		if err != nil {
 			return nil, err
@@ -370,7 +370,7 @@
 		if res.ContentLength < 0 && !chunked(res) || res.Close {
 			return nil, ErrUnasked // nothing can follow it
 		}
-		if _, err := io.CopyN(io.Discard, res.Body, maxStranger); !errors.Is(err, io.EOF) {
+		if _, err := io.CopyN(io.Discard, res.Body, maxUnsolicitedBody); !errors.Is(err, io.EOF) {
 			return nil, ErrUnasked
 		}
 	}
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -82,7 +82,7 @@
 func (g *Gate) Load() float64 {
 	load := float64(len(g.running)+len(g.queue)) / float64(g.allowed())
 	load = max(load, g.bodies.load(g.now, g.queuedBytes(nil)))
-	if !g.shedAt.IsZero() && g.now.Sub(g.shedAt) < shedFor {
+	if !g.shedAt.IsZero() && g.now.Sub(g.shedAt) < shedWindow {
 		load += shedLoad
 	}
 	return load
@@ -90,8 +90,8 @@
 
 // How long and by how much a target counts as taken after it refused work.
 const (
-	shedFor  = time.Second
-	shedLoad = 3
+	shedWindow = time.Second
+	shedLoad   = 3
 )
 
 // Running is how many calls run now.
@@ -169,7 +169,7 @@
 		g.refuse(m.ID, kind.Deadline)
 		return
 	case m.Far && g.overload.on(g.now, m.Priority):
-		g.refuseFor(m.ID, kind.Full, pressedFor)
+		g.refuseFor(m.ID, kind.Full, overloadWindow)
 		return
 	case m.Far && !g.spares(&m):
 		g.reject(&m, kind.Full)
--- a/briarrockd/target/overload.go
+++ b/briarrockd/target/overload.go
@@ -7,18 +7,18 @@
 )
 
 const (
-	// pressedFor is how long after the refusal of a call the own region counts
+	// overloadWindow is how long after the refusal of a call the own region counts
 	// as short of room.
-	pressedFor = 500 * time.Millisecond
-	// lesserFor is how long after the start of a less urgent call there counts as
+	overloadWindow = 500 * time.Millisecond
+	// lessUrgentWindow is how long after the start of a less urgent call there counts as
 	// being more of its kind: the more urgent ones get those slots first.
-	lesserFor = 500 * time.Millisecond
-	// refusedPart is the weight of the newest call in the share that is refused,
+	lessUrgentWindow = 500 * time.Millisecond
+	// rejectWeight is the weight of the newest call in the share that is refused,
 	// so that the share tells of the last twenty calls.
-	refusedPart = 0.05
-	// refusedMost is the share of refused calls from which on nothing queues
+	rejectWeight = 0.05
+	// maxRejectShare is the share of refused calls from which on nothing queues
 	// beyond minQueue.
-	refusedMost = 0.15
+	maxRejectShare = 0.15
 )
 
 // overload is how short of room a gate is for calls of each priority.
@@ -39,7 +39,7 @@
 // on tells whether calls of at least a priority were refused a moment ago.
 func (p *overload) on(now time.Time, priority snapshot.Priority) bool {
 	for _, at := range p.refusedAt[min(priority, snapshot.MostUrgent):] {
-		if !at.IsZero() && now.Sub(at) < pressedFor {
+		if !at.IsZero() && now.Sub(at) < overloadWindow {
 			return true
 		}
 	}
@@ -53,7 +53,7 @@
 		x = 1
 	}
 	share := &p.share[min(priority, snapshot.MostUrgent)]
-	*share += refusedPart * (x - *share)
+	*share += rejectWeight * (x - *share)
 }
 
 // started notes that a call was started.
@@ -68,14 +68,14 @@
 // for nothing: as many are done as without. So the more calls are refused, the
 // less of its time a call may spend waiting, and the rest is told at once.
 func (p *overload) patience(priority snapshot.Priority) float64 {
-	return max(0, 1-p.share[min(priority, snapshot.MostUrgent)]/refusedMost)
+	return max(0, 1-p.share[min(priority, snapshot.MostUrgent)]/maxRejectShare)
 }
 
 // first tells whether less urgent calls are still started. Then it is not calls of
 // this priority that there are too many of: the next slots are theirs.
 func (p *overload) first(now time.Time, priority snapshot.Priority) bool {
 	for _, at := range p.startedAt[:min(priority, snapshot.MostUrgent)] {
-		if !at.IsZero() && now.Sub(at) < lesserFor {
+		if !at.IsZero() && now.Sub(at) < lessUrgentWindow {
 			return true
 		}
 	}
