target: free the slot of a call whose body does not come

A short body that was held back is read after the call has its slot. If the caller's node is cut off right then, nothing comes and no connection ends: the slot was kept for the server's bound of ten seconds. It is given up after half a second now, or at the call's deadline, as 'not run': nothing has gone to the target. Found by reading the change; TestBodyNeverComes fails without it (it waits for its minute).

--- a/briarrockd/target/held_test.go
+++ b/briarrockd/target/held_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -37,36 +38,76 @@
 // Read implements io.Reader.
 func (lost) Read([]byte) (int, error) { return 0, errors.New("lost") }
 
-// TestBodyFirst guards against a request that runs although its caller's node has been
-// told that it has not: a body that was held back is there before anything is sent to
-// the target.
-func TestBodyFirst(t *testing.T) {
-	c := qt.New(t)
-	tr := new(counting)
+// stuck is a body whose caller's node is cut off: nothing comes until it is closed.
+type stuck struct{ closed chan struct{} }
+
+// Read implements io.Reader.
+func (s stuck) Read([]byte) (int, error) {
+	<-s.closed
+	return 0, errors.New("closed")
+}
+
+// Close implements io.Closer.
+func (s stuck) Close() error {
+	close(s.closed)
+	return nil
+}
+
+// newBodyHost is a host with a target of one slot behind a transport.
+func newBodyHost(tr http.RoundTripper) *Targets {
 	x := New(Deps{
 		Changed: func([]peer.Target) {}, Suspicion: func(uint64) int { return 0 },
 		Log: event.New(io.Discard, true, logrus.ErrorLevel, "h"), Stall: time.Minute, Silent: time.Hour,
 		Dialect: func(http.RoundTripper) http.RoundTripper { return tr },
 	})
-	defer x.Close()
 	x.Configure(posting)
 	x.Heard(Announcement{Service: "posting", Addr: address, Slots: 1, State: StateUp})
-	send := func(body io.Reader) *httptest.ResponseRecorder {
-		r := httptest.NewRequest(http.MethodPost, "/", body)
-		r.ContentLength = 5
-		r.Header.Set(HeaderService, "posting")
-		r.Header.Set(HeaderDeadline, "1000")
-		r.Header.Set(http1.HeaderHeld, "yes")
-		w := httptest.NewRecorder()
-		x.ServeHTTP(w, r)
-		return w
-	}
+	return x
+}
+
+// sendHeld sends a request whose body of five bytes has been held back.
+func sendHeld(x *Targets, body io.Reader) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "/", body)
+	r.ContentLength = 5
+	r.Header.Set(HeaderService, "posting")
+	r.Header.Set(HeaderDeadline, "60000")
+	r.Header.Set(http1.HeaderHeld, "yes")
+	w := httptest.NewRecorder()
+	x.ServeHTTP(w, r)
+	return w
+}
+
+// TestBodyNeverComes guards against a slot that is kept for a caller's node which has
+// been cut off after it was asked for the body.
+func TestBodyNeverComes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tr := new(counting)
+		x := newBodyHost(tr)
+		defer x.Close()
+		began := time.Now()
+		w := sendHeld(x, stuck{make(chan struct{})})
+		c.Check(time.Since(began), qt.Equals, heldBodyWithin)
+		c.Check(kind.ParseRan(w.Header().Get(kind.HeaderRan)), qt.Equals, kind.RanNo)
+		c.Check(sendHeld(x, strings.NewReader("order")).Body.String(), qt.Equals, "order")
+		c.Check(tr.requests, qt.Equals, 1)
+	})
+}
+
+// TestBodyFirst guards against a request that runs although its caller's node has been
+// told that it has not: a body that was held back is there before anything is sent to
+// the target.
+func TestBodyFirst(t *testing.T) {
+	c := qt.New(t)
+	tr := new(counting)
+	x := newBodyHost(tr)
+	defer x.Close()
 	for range 2 { // the slot is free again
-		w := send(lost{})
+		w := sendHeld(x, lost{})
 		c.Check(tr.requests, qt.Equals, 0)
 		c.Check(kind.ParseRan(w.Header().Get(kind.HeaderRan)), qt.Equals, kind.RanNo)
 	}
-	w := send(strings.NewReader("order"))
+	w := sendHeld(x, strings.NewReader("order"))
 	c.Check(tr.requests, qt.Equals, 1)
 	c.Check(w.Body.String(), qt.Equals, "order")
 }
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -190,6 +190,9 @@
 	t.run(w, r, x, id, c)
 }
 
+// heldBodyWithin bounds the time in which a short body comes once it has been asked for.
+const heldBodyWithin = 500 * time.Millisecond
+
 // take reads a short body that the caller's node has held back before anything of its
 // request goes to the target: without it, the request has not run. It returns false if
 // the body did not come.
@@ -197,6 +200,9 @@
 	if r.Header.Get(http1.HeaderHeld) == "" || relay.IsStreamed(r) {
 		return true
 	}
+	// A caller's node that has been cut off meanwhile must not keep the slot.
+	timer := time.AfterFunc(min(heldBodyWithin, time.Until(c.deadline)), func() { _ = r.Body.Close() })
+	defer timer.Stop()
 	b := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, b); err != nil {
 		x.step(Ended{ID: id, Route: c.route})
