--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -245,8 +245,8 @@
 }
 
 // promote gives the highest priority to a call that a run of this host's target waits
-// for: if it is refused, all that was done for the run is lost. The name must be that
-// of a call which runs here, so that no caller can claim it.
+// for: if it is refused, all that was done for the run is lost. A name alone gives no
+// right to it: the call that it names as its parent must run here now.
 func (p *Proxy) promote(c *call) {
 	parent, ok := target.Parent(c.trace)
 	if !ok || p.deps.Runs == nil || !p.deps.Runs(parent) {
