--- a/briarrockd/caller/race_test.go
+++ b/briarrockd/caller/race_test.go
@@ -64,18 +64,22 @@
 	if x.err != nil {
 		return nil, x.err
 	}
+	if x.kind == kind.None {
+		return answerOf(req, x.status, kind.RanYes), nil
+	}
+	res := answerOf(req, x.kind.Answer().Status, x.ran)
+	res.Header.Set(kind.HeaderKind, string(x.kind))
+	return res, nil
+}
+
+// answerOf is an answer to a request, of a target or of its node.
+func answerOf(req *http.Request, status int, ran kind.Ran) *http.Response {
 	res := &http.Response{
-		StatusCode: x.status, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header),
+		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header),
 		Body: io.NopCloser(strings.NewReader("answer")), ContentLength: 6, Request: req,
 	}
-	ran := kind.RanYes
-	if x.kind != kind.None {
-		res.StatusCode = x.kind.Answer().Status
-		res.Header.Set(kind.HeaderKind, string(x.kind))
-		ran = x.ran
-	}
 	res.Header.Set(kind.HeaderRan, ran.String())
-	return res, nil
+	return res
 }
 
 var (
