relay, caller, target: read short bodies in one place, and know an overload from the choice

Found by reading the change once more; behaviour as before. - The target's read of a held body was the twin of the entry's read of a short one, each with a timer that closes the body: relay.ReadBody serves both. - Whether bodies are held back went over all upstreams once more, under the chooser's lock, for each attempt with a body. The choice has just looked: it says so on the upstream it returns. - The shares that the limiter and the overload keep are one type, share. - Comments: poll for look, a line that was too long.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -48,7 +48,7 @@
 func (p *Proxy) try(ctx context.Context, c *call, u upstream) attempt {
 	p.attempts.Inc()
 	body, length := c.payload()
-	held := p.holdsBody(c)
+	held := c.holdsBody(u)
 	res, out := relay.Send(ctx, relay.Call{
 		In: c.r, URL: relay.Toward(&url.URL{Scheme: p.deps.Scheme, Host: u.addr}, c.r), Host: c.r.Host,
 		Add: c.towardsNode(u, held), Body: body, Length: length, Transport: p.deps.Transport, Stall: p.deps.Stall,
@@ -120,9 +120,9 @@
 // holdsBody tells whether a call's body is held back until the target's node asks for
 // it. In an overload a body of any length is: most calls are refused, and their bodies
 // would take up the links.
-func (p *Proxy) holdsBody(c *call) bool {
+func (c *call) holdsBody(u upstream) bool {
 	n := c.r.ContentLength
-	return n < 0 || n > expectAbove || n > 0 && p.deps.Chooser.overloaded(time.Now(), c.service.Name, c.set)
+	return n < 0 || n > expectAbove || n > 0 && u.overloaded
 }
 
 func (c *call) towardsNode(u upstream, held bool) http.Header {
--- a/briarrockd/caller/attempts.go
+++ b/briarrockd/caller/attempts.go
@@ -213,9 +213,9 @@
 }
 
 // hedgeAim is the part of the time that the route aims at, and hedgeDeadline that
-// of its deadline where it has no aim, after which a second target is asked as well. Most work ends well
-// before; an answer that was lost, or a target that has stopped, costs the
-// caller this long and not its whole deadline.
+// of its deadline where it has no aim, after which a second target is asked as well.
+// Most work ends well before; an answer that was lost, or a target that has stopped,
+// costs the caller this long and not its whole deadline.
 const (
 	hedgeAim      = 0.6
 	hedgeDeadline = 0.4
--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -325,21 +325,13 @@
 		c.begun = &begun{ReadCloser: c.r.Body}
 		return kind.None
 	}
-	ctl := stallRead{c.r.Body, time.AfterFunc(p.deps.Stall, func() { _ = c.r.Body.Close() })}
-	defer ctl.timer.Stop()
-	c.body = make([]byte, n)
-	if _, err := io.ReadFull(ctl, c.body); err != nil {
+	var err error
+	if c.body, err = relay.ReadBody(c.r, p.deps.Stall); err != nil {
 		return kind.Request
 	}
 	return kind.None
 }
 
-// stallRead is a body that is closed when no byte comes for too long.
-type stallRead struct {
-	io.Reader
-	timer *time.Timer
-}
-
 // begun is a streamed body. Once a byte of it was read it can't be sent again.
 type begun struct {
 	io.ReadCloser
--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -148,8 +148,8 @@
 func (c *Chooser) best(v *view, tried []string, priority snapshot.Priority) (upstream, bool) {
 	usable := v.usable(tried, priority)
 	typicalLatency := v.typicalLatency(usable)
-	samples := calmSamples
-	if v.anyOverloaded() {
+	samples, overloaded := calmSamples, v.anyOverloaded()
+	if overloaded {
 		samples = overloadSamples
 	}
 	var tiers [tierCount][]int
@@ -169,7 +169,9 @@
 	if !found {
 		return upstream{}, false
 	}
-	return v.set[best], true
+	u := v.set[best]
+	u.overloaded = overloaded
+	return u, true
 }
 
 // typicalLatency is the time that a request takes as a rule at the service: the median
--- a/briarrockd/caller/table.go
+++ b/briarrockd/caller/table.go
@@ -51,8 +51,9 @@
 	slots  int
 	// process tells the processes of the host's node apart.
 	process uint64
-	// far is set by the chooser on an upstream in another region.
-	far bool
+	// far is set by the chooser on an upstream in another region, overloaded on one of a
+	// service of which some upstream had no room of late.
+	far, overloaded bool
 }
 
 // entry is one entry of a version with the services that it leads to.
--- a/briarrockd/node/platform.go
+++ b/briarrockd/node/platform.go
@@ -123,5 +123,5 @@
 // Failed says that a look had no answer.
 func (f *Follow) Failed() { f.tell(peer.PollFailed{}) }
 
-// Polled says that a look found nothing newer than what was told.
+// Polled says that a poll found nothing newer than what was told.
 func (f *Follow) Polled(l peer.Polled) { f.tell(l) }
--- a/briarrockd/peer/contact_test.go
+++ b/briarrockd/peer/contact_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// turns tells whether a Core has decided to look at the platform.
+// turns tells whether a Core has decided to poll the platform.
 func turns(cmds []Cmd) bool {
 	on := false
 	for _, x := range cmds {
--- a/briarrockd/relay/relay.go
+++ b/briarrockd/relay/relay.go
@@ -91,6 +91,18 @@
 // IsStreamed tells whether a request's body is streamed.
 func IsStreamed(r *http.Request) bool { return r.ContentLength < 0 || r.ContentLength > KeepBody }
 
+// ReadBody reads a request's body of known length into memory. A body that has not come
+// within the given time is closed, and the read fails.
+func ReadBody(r *http.Request, within time.Duration) ([]byte, error) {
+	timer := time.AfterFunc(within, func() { _ = r.Body.Close() })
+	defer timer.Stop()
+	b := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, b); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return b, nil
+}
+
 // Outcome is how far an exchange came.
 type Outcome struct {
 	// Kind is None for an exchange that came to its end.
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -143,7 +143,7 @@
 		return again
 	}
 	left := float64(spare(a.Aim.Sub(g.now), g.limit.work.of(a.Route)))
-	return max(again, time.Duration(g.overload.share[a.Priority]*left))
+	return max(again, time.Duration(float64(g.overload.share[a.Priority])*left))
 }
 
 // Usual is how long a call takes as a rule; 0 before any has ended.
--- a/briarrockd/target/limiter.go
+++ b/briarrockd/target/limiter.go
@@ -50,7 +50,7 @@
 	shrankAt time.Time
 	// shedQuiet and shedBusy are the shares of the calls that the target refuses by
 	// itself at low and at high load.
-	shedQuiet, shedBusy float64
+	shedQuiet, shedBusy share
 }
 
 // reset begins anew with all slots. A target that has just started and is slow
@@ -89,15 +89,11 @@
 // observeShed notes whether the target refused a call. One that refuses as many at low
 // load does so for another reason, and a lower limit would only cost room.
 func (l *limiter) observeShed(shed, quiet bool) {
-	x := 0.0
-	if shed {
-		x = 1
-	}
-	share := &l.shedBusy
 	if quiet {
-		share = &l.shedQuiet
+		l.shedQuiet.observe(shed, shedWeight)
+		return
 	}
-	*share += shedWeight * (x - *share)
+	l.shedBusy.observe(shed, shedWeight)
 }
 
 // lower takes the limit down by a step, though not below a floor.
--- a/briarrockd/target/overload.go
+++ b/briarrockd/target/overload.go
@@ -26,7 +26,7 @@
 	// refusedAt is when calls of the own region were last refused.
 	refusedAt [snapshot.MostUrgent + 1]time.Time
 	// share is the part of the last calls that found no room.
-	share [snapshot.MostUrgent + 1]float64
+	share [snapshot.MostUrgent + 1]share
 	// startedAt is when a call was last started.
 	startedAt [snapshot.MostUrgent + 1]time.Time
 }
@@ -48,12 +48,7 @@
 
 // decided counts a call as let in or refused.
 func (p *overload) decided(priority snapshot.Priority, refused bool) {
-	x := 0.0
-	if refused {
-		x = 1
-	}
-	share := &p.share[min(priority, snapshot.MostUrgent)]
-	*share += rejectWeight * (x - *share)
+	p.share[min(priority, snapshot.MostUrgent)].observe(refused, rejectWeight)
 }
 
 // started notes that a call was started.
@@ -68,7 +63,7 @@
 // for nothing: as many are done as without. So the more calls are refused, the
 // less of its time a call may spend waiting, and the rest is told at once.
 func (p *overload) patience(priority snapshot.Priority) float64 {
-	return max(0, 1-p.share[min(priority, snapshot.MostUrgent)]/maxRejectShare)
+	return max(0, 1-float64(p.share[min(priority, snapshot.MostUrgent)])/maxRejectShare)
 }
 
 // first tells whether less urgent calls are still started. Then it is not calls of
@@ -81,3 +76,15 @@
 	}
 	return false
 }
+
+// share is a moving share of the events of which something holds.
+type share float64
+
+// observe counts an event by weight.
+func (s *share) observe(holds bool, weight float64) {
+	x := 0.0
+	if holds {
+		x = 1
+	}
+	*s += share(weight * (x - float64(*s)))
+}
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -201,10 +201,8 @@
 		return true
 	}
 	// A caller's node that has been cut off meanwhile must not keep the slot.
-	timer := time.AfterFunc(min(heldBodyWithin, time.Until(c.deadline)), func() { _ = r.Body.Close() })
-	defer timer.Stop()
-	b := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, b); err != nil {
+	b, err := relay.ReadBody(r, min(heldBodyWithin, time.Until(c.deadline)))
+	if err != nil {
 		x.step(Ended{ID: id, Route: c.route})
 		t.refuse(w, c, x, Refuse{Kind: kind.Cancel})
 		return false
