target, platform: read and log what targets name in their answers

The dialect now translates both headers (the caller still gets them as they were), the target's node keeps the rate in the order of the requests that the answers belong to, and shows it: event 513 on each change, with what it was before, its source and its age; 514 for a value that is no number, which changes nothing; the rate on the lines of calls that end or are refused; the gauge briarrock_target_limited. Nothing is enforced yet.

--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -241,6 +241,7 @@
 	f := event.Fields{"trace": c.trace, "service": c.service, "priority": c.priority, "kind": string(r.Kind), "after": r.Wait.Milliseconds()}
 	if x != nil {
 		f["target"], f["load"] = x.addr, x.writeLoad(w.Header())
+		x.rate().log(f)
 	}
 	t.deps.Log.Call(event.RunRefused, f, false)
 	if r.Wait > 0 {
@@ -281,6 +282,9 @@
 		Body: body(r, func() { x.step(Taken{id}) }), Length: r.ContentLength, Transport: x.transport, Stall: t.deps.Stall,
 		Deadline: c.deadline, Streamed: relay.IsStreamed(r), Once: c.once,
 	})
+	if res != nil {
+		t.observe(x, res.Header, began)
+	}
 	if res != nil && (res.ContentLength >= 0 || !relay.IsStreamed(r)) {
 		if err := relay.Whole(res, relay.KeepAnswer); err != nil {
 			res, out = nil, relay.Outcome{Kind: kind.Broken, Sent: true, Err: err}
@@ -348,6 +352,7 @@
 	if cause != nil {
 		f["cause"] = cause.Error()
 	}
+	x.rate().log(f)
 	t.deps.Log.Call(event.RunEnded, f, plain)
 }
 
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -150,6 +150,7 @@
 	waiters   map[CallID]chan Cmd
 	lastID    CallID
 	timer     *time.Timer
+	named     namedRate
 	mu        sync.Mutex
 }
 
@@ -179,6 +180,7 @@
 	}
 	d.Metrics.GetOrCreateGauge("briarrock_target_running", func() float64 { return float64(t.Running()) })
 	d.Metrics.GetOrCreateGauge("briarrock_target_queued", func() float64 { return float64(t.count((*Gate).Queued)) })
+	d.Metrics.GetOrCreateGauge("briarrock_target_limited", func() float64 { return float64(t.limited()) })
 	t.wg.Go(t.sweep)
 	return t
 }
--- a/mesh/event/event.go
+++ b/mesh/event/event.go
@@ -75,6 +75,8 @@
 	RunEnded        = Event{510, "runended", logrus.InfoLevel}
 	TargetState     = Event{511, "targetstate", logrus.InfoLevel}
 	AnnounceBad     = Event{512, "announcebad", logrus.WarnLevel}
+	TargetRate      = Event{513, "targetrate", logrus.InfoLevel}
+	AnswerBad       = Event{514, "answerbad", logrus.WarnLevel}
 	EditAccepted    = Event{601, "accepted", logrus.InfoLevel}
 	EditConflict    = Event{602, "conflict", logrus.WarnLevel}
 	EditRefused     = Event{603, "invalid", logrus.WarnLevel}
@@ -90,7 +92,7 @@
 		LinkUp, LinkDown, PeerRefused, PeerGarbage, MemberSuspect, MemberDead, MemberLeft, DomainStale,
 		StoreDown, StoreUp, StoreForgot,
 		CallFailed, TargetUp, TargetGone, TargetCrashed, RequestHeld, ClaimLost,
-		CallAnswered, CallGivenUp, RunRefused, RunEnded, TargetState, AnnounceBad,
+		CallAnswered, CallGivenUp, RunRefused, RunEnded, TargetState, AnnounceBad, TargetRate, AnswerBad,
 		EditAccepted, EditConflict, EditRefused, EditUnknown, OperatorRefused,
 	}
 }
