target, caller: keep targets to the rate that they name

What targets tell of themselves was known from announcements alone; answers were passed on unread. Why it works: all requests for a target pass the gate on its host, so one token bucket there bounds the sum over all entry nodes without agreement. It is one more kind of room beside slots and link: what can't have a turn in time is refused at once with the time of its turn, urgent calls go first, and the load that rides on answers includes it. A node that replaces the target's learns the rate before its first answer: the nodes that have passed such answers on, which are those that the rule binds, report it with their requests; the report holds until the target itself has answered. A refusal for rate is a kind of its own (rate), neither overload nor failure of the target. An answer to an older request neither ends nor raises a rate. A rate under one in two seconds is kept to as that: only an answer can end it.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -109,7 +109,8 @@
 	f.Failed = a.kind == kind.Refused || a.kind == kind.Broken || a.kind == kind.Late
 	f.TargetFailed = a.kind == kind.Shed || a.failure()
 	f.Leaving = a.kind == kind.Drain
-	f.Full, f.Again = a.kind == kind.Full, a.after
+	f.Full, f.Paced, f.Again = a.kind == kind.Full || a.kind == kind.Rate, a.kind == kind.Rate, a.after
+	f.Notices = target.ReadNotices(h, time.Now())
 	return f
 }
 
@@ -149,5 +150,6 @@
 	if c.caller != "" {
 		h.Set(target.HeaderCaller, c.caller)
 	}
+	target.WriteNotices(h, time.Now(), u.notices...)
 	return h
 }
--- a/briarrockd/caller/attempts.go
+++ b/briarrockd/caller/attempts.go
@@ -74,6 +74,9 @@
 
 // noUpstream is the end of a call that has no upstream to go to.
 func (p *Proxy) noUpstream(c *call) attempt {
+	if wait, ok := p.deps.Chooser.pacedFor(time.Now(), c.service.Name, c.set, c.route.Priority); ok {
+		return attempt{kind: kind.Rate, ran: kind.RanNo, after: wait + rand.N(fullAgain+wait)}
+	}
 	if p.deps.Chooser.anyFull(time.Now(), c.service.Name, c.set, c.route.Priority) {
 		return attempt{kind: kind.Full, ran: kind.RanNo, after: fullAgain + rand.N(fullAgain)}
 	}
--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -62,6 +62,9 @@
 	// maxFarFullTTL is the most for one in another region, which says itself how
 	// long it has no room to spare; the way there is long, and paid.
 	maxFarFullTTL = 500 * time.Millisecond
+	// maxPacedTTL is the most for one whose target names a rate, and which says itself
+	// when the next of its turns is free.
+	maxPacedTTL = 2 * time.Second
 	// leavingFor is how long an upstream that leaves is left alone.
 	leavingFor = 3 * time.Second
 	// maxStates bounds the table of upstreams that are remembered.
@@ -126,6 +129,7 @@
 	}
 	s.inflight++
 	s.since++
+	best.notices = s.notices
 	best.far = c.tier(&best) == tierCount-1
 	s.far, s.slots, s.process = best.far, best.slots, best.process
 	return best, true
@@ -328,6 +332,26 @@
 	return c.view(now, service, set).any(func(s *state) bool { return s.isFull(now, priority) })
 }
 
+// pacedFor tells how long the first of a set's upstreams has no turn for a call; false
+// unless all that may be used are known to have none for their targets' rates.
+func (c *Chooser) pacedFor(now time.Time, service string, set []upstream, priority snapshot.Priority) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wait, found := time.Duration(0), false
+	for i, s := range c.view(now, service, set).states {
+		switch {
+		case s != nil && s.leaves(now, &set[i]):
+		case s == nil || !s.paced || !s.isFull(now, priority):
+			return 0, false
+		default:
+			if left := s.fullTTL() - now.Sub(s.fullAt); !found || left < wait {
+				wait, found = left, true
+			}
+		}
+	}
+	return wait, found
+}
+
 // overloaded tells whether an upstream of a set had no room of late.
 func (c *Chooser) overloaded(now time.Time, service string, set []upstream) bool {
 	c.mu.Lock()
@@ -336,7 +360,7 @@
 }
 
 func (v *view) anyOverloaded() bool {
-	return v.any(func(s *state) bool { return v.now.Sub(s.fullAt) < overloadedFor })
+	return v.any(func(s *state) bool { return !s.paced && v.now.Sub(s.fullAt) < overloadedFor })
 }
 
 func (v *view) any(is func(*state) bool) bool {
--- a/briarrockd/caller/state.go
+++ b/briarrockd/caller/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"briarrock.example/briarrockd/target"
 	"briarrock.example/mesh/snapshot"
 )
 
@@ -31,11 +32,14 @@
 	TargetFailed bool
 	// Leaving is set when the target's node said that the target leaves.
 	Leaving bool
-	// Full is set when the target's node had no room for a call of Priority, and
-	// Again is when it said that it is worth asking again; 0 if it didn't.
-	Full     bool
-	Priority snapshot.Priority
-	Again    time.Duration
+	// Full is set when the target's node had no room for a call of Priority, Paced if
+	// that was for the rate that the target names, and Again is when it said that it is
+	// worth asking again; 0 if it didn't.
+	Full, Paced bool
+	Priority    snapshot.Priority
+	Again       time.Duration
+	// Notices are what the node's targets have told of themselves.
+	Notices []target.Notice
 }
 
 // state is what is remembered of one upstream.
@@ -63,8 +67,12 @@
 	// priority fullTo.
 	fullAt time.Time
 	fullTo snapshot.Priority
-	// again is when it said then that it is worth asking again.
+	// again is when it said then that it is worth asking again, and paced is set if it
+	// was for its target's rate.
 	again time.Duration
+	paced bool
+	// notices are what its targets have told of themselves, never changed in place.
+	notices []target.Notice
 	// far is set for an upstream in another region, slots are those that it has.
 	far   bool
 	slots int
@@ -101,7 +109,7 @@
 	if s.isFull(now, s.fullTo) {
 		priority = max(priority, s.fullTo)
 	}
-	s.fullAt, s.fullTo, s.again = now, priority, f.Again
+	s.fullAt, s.fullTo, s.again, s.paced = now, priority, f.Again, f.Paced
 }
 
 // isFull tells whether there is known to be no room for a call.
@@ -111,6 +119,9 @@
 
 // fullTTL is how long the upstream is left alone after it had no room.
 func (s *state) fullTTL() time.Duration {
+	if s.paced {
+		return min(s.again, maxPacedTTL)
+	}
 	if s.far {
 		return min(max(s.again, maxFullTTL), maxFarFullTTL)
 	}
@@ -120,6 +131,27 @@
 	return min(max(s.usual/time.Duration(max(s.slots, 1)), minFullTTL), maxFullTTL)
 }
 
+// maxTold bounds the processes of one upstream's targets that are remembered.
+const maxTold = 4
+
+// observeNotice remembers what a target has told of itself in place of what the same
+// process told before.
+func (s *state) observeNotice(n target.Notice) {
+	list := make([]target.Notice, 0, maxTold)
+	for _, old := range s.notices {
+		switch {
+		case old.Process != n.Process:
+			list = append(list, old)
+		case old.At.After(n.At):
+			n = old
+		}
+	}
+	if len(list) == maxTold {
+		list = list[1:]
+	}
+	s.notices = append(list, n)
+}
+
 // observeFeedback takes the figures of an attempt.
 func (s *state) observeFeedback(now time.Time, f Feedback) {
 	if f.Load >= 0 {
@@ -133,6 +165,9 @@
 	if !f.Failed {
 		s.stalledSince = now
 	}
+	for _, n := range f.Notices {
+		s.observeNotice(n)
+	}
 	bad := 0.0
 	if f.Failed || f.TargetFailed {
 		bad = 1
--- a/briarrockd/caller/table.go
+++ b/briarrockd/caller/table.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"briarrock.example/briarrockd/peer"
+	"briarrock.example/briarrockd/target"
 	"briarrock.example/mesh/snapshot"
 )
 
@@ -54,6 +55,8 @@
 	// far is set by the chooser on an upstream in another region, overloaded on one of a
 	// service of which some upstream had no room of late.
 	far, overloaded bool
+	// notices, also set by the chooser, are what its targets have told of themselves.
+	notices []target.Notice
 }
 
 // entry is one entry of a version with the services that it leads to.
--- a/briarrockd/caller/told_hosts_test.go
+++ b/briarrockd/caller/told_hosts_test.go
@@ -44,6 +44,7 @@
 	wg      sync.WaitGroup
 	calls   int
 	answers int
+	asked   int // attempts at targets' nodes
 	over    int // runs beyond a target's slots
 }
 
@@ -183,6 +184,9 @@
 func (n toldNet) RoundTrip(req *http.Request) (*http.Response, error) {
 	i, _ := strconv.Atoi(strings.TrimSuffix(req.URL.Host, ":1"))
 	to := n.from.m.hosts[i]
+	to.m.mu.Lock()
+	to.m.asked++
+	to.m.mu.Unlock()
 	hop := chainNear
 	if to.region != n.from.region {
 		hop = chainFar
--- a/briarrockd/caller/told_test.go
+++ b/briarrockd/caller/told_test.go
@@ -21,6 +21,8 @@
 	toldSlack   = 5
 	toldKnown   = 500 * time.Millisecond
 	toldDrain   = 2500 * time.Millisecond
+	// toldAttempts is the most attempts at targets' nodes for a hundred calls.
+	toldAttempts = 130
 )
 
 // play sends load requests a second for some seconds, while the steps of a script happen,
@@ -105,7 +107,8 @@
 }
 
 // overRate is the most that a target got in some window beyond what its rates allowed,
-// from entry nodes that had passed a rate on, and how much of the rates it got in all.
+// from entry nodes that had passed a rate on, and how much of the rates it got in all,
+// from any node.
 func (a *toldApp) overRate() (over, used float64) {
 	if len(a.named) == 0 {
 		return 0, 1
@@ -122,12 +125,13 @@
 			if y.at.Sub(x.at) >= toldWindow {
 				break
 			}
+			got++
 			if at, ok := a.ratedAt[y.entry]; ok && y.at.Sub(at) >= toldKnown {
 				n++
 			}
 		}
 		over = max(over, float64(n)-most)
-		got, due = got+n, due+(most-toldSlack)/toldFactor
+		due += (most - toldSlack) / toldFactor
 	}
 	if due == 0 {
 		return over, 1
@@ -152,8 +156,10 @@
 			m := newToldMesh(hosts, targets)
 			m.play(c, load, seconds, d.Input)
 			m.close()
-			share := float64(m.answers) / float64(m.calls)
+			share, asked := float64(m.answers)/float64(m.calls), float64(m.asked)/float64(m.calls)
+			t.Logf("%.3f of %d calls served, %.2f attempts each", share, m.calls, asked)
 			c.Check(share*100 >= float64(served), qt.IsTrue, qt.Commentf("%.3f of the calls are served", share))
+			c.Check(asked*100 <= toldAttempts, qt.IsTrue, qt.Commentf("%.2f attempts a call", asked))
 			c.Check(m.over, qt.Equals, 0, qt.Commentf("runs beyond a target's slots"))
 			for _, h := range m.hosts[:targets] {
 				over, use := h.app.overRate()
--- a/briarrockd/target/announce.go
+++ b/briarrockd/target/announce.go
@@ -1,9 +1,11 @@
 package target
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"briarrock.example/briarrockd/http1"
@@ -28,8 +30,10 @@
 	maxLeft = 256
 	// checkWithin bounds a health check, checkAgain is the pause after one that
 	// failed.
-	checkWithin = time.Second
-	checkAgain  = 250 * time.Millisecond
+	// checkAgainPaced is the pause if the target names a rate.
+	checkWithin     = time.Second
+	checkAgain      = 250 * time.Millisecond
+	checkAgainPaced = 2 * time.Second
 )
 
 // Heard takes what a target says of itself. It returns false if the host has
@@ -171,10 +175,14 @@
 		if ok || done {
 			return
 		}
+		pause := checkAgain
+		if told, _ := x.notice(); told.Rate.bounded {
+			pause = checkAgainPaced
+		}
 		select {
 		case <-t.done:
 			return
-		case <-time.After(checkAgain):
+		case <-time.After(pause):
 		}
 	}
 }
@@ -196,10 +204,14 @@
 		return false
 	}
 	req.Header.Set("User-Agent", "")
-	res, err := x.pool.RoundTrip(req)
+	sent := time.Now()
+	res, err := x.transport.RoundTrip(req)
 	if err != nil {
 		return false
 	}
+	if res.Header.Get(HeaderRate) != "" {
+		t.observeRate(x, res.Header, sent)
+	}
 	_ = relay.Whole(res, maxAnnouncement)
 	t.deps.Log.Emit(event.TargetState, event.Fields{event.Subject: x.addr, "id": id, "health": res.StatusCode})
 	return res.StatusCode == http.StatusOK
@@ -239,6 +251,7 @@
 	x := &target{
 		service: a.Service,
 		addr:    a.Addr,
+		process: cmp.Or(a.ID, a.Addr) + "/" + strconv.FormatInt(a.Born, 10),
 		url:     &url.URL{Scheme: "http", Host: a.Addr},
 		pool: http1.NewPool(http1.PoolConfig{
 			Dial: relay.Dialer(dialTimeout, t.deps.Dial), Idle: idleTimeout,
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -21,6 +21,7 @@
 	queueMax int
 	draining bool
 	limit    limiter
+	pacer    pacer
 	bodies   bodies
 	overload overload
 	reserve  reserve
@@ -65,6 +66,8 @@
 		g.ended(m)
 	case Limits:
 		g.limits(m)
+	case Throttle:
+		g.pacer.set(now, m.Rate)
 	case Drain:
 		g.drain(m.On)
 	case Tick:
@@ -81,7 +84,7 @@
 // counts as taken.
 func (g *Gate) Load() float64 {
 	load := float64(len(g.running)+len(g.queue)) / float64(g.allowed())
-	load = max(load, g.bodies.load(g.now, g.queuedBytes(nil)))
+	load = max(load, g.bodies.load(g.now, g.queuedBytes(nil)), g.pacer.load(g.now))
 	if !g.shedAt.IsZero() && g.now.Sub(g.shedAt) < shedWindow {
 		load += shedLoad
 	}
@@ -126,6 +129,14 @@
 	g.cmds = append(g.cmds, r)
 }
 
+// shortage is the kind of room that a call is refused for now.
+func (g *Gate) shortage() kind.Kind {
+	if !g.pacer.ready(g.now) {
+		return kind.Rate
+	}
+	return kind.Full
+}
+
 // reject refuses a call for want of room.
 func (g *Gate) reject(a *Arrive, k kind.Kind) {
 	if !a.Far {
@@ -138,7 +149,7 @@
 // more calls are refused, the more of the time in which it could still be answered
 // within its aim is used: callers who return at once meet the same overload.
 func (g *Gate) again(a *Arrive) time.Duration {
-	again := max(g.wait(0, snapshot.MostUrgent), minWait)
+	again := max(g.wait(0, snapshot.MostUrgent), minWait, g.pacer.again(g.now, len(g.queue)))
 	if a.Aim.IsZero() {
 		return again
 	}
@@ -169,10 +180,10 @@
 		g.refuse(m.ID, kind.Deadline)
 		return
 	case m.Far && g.overload.on(g.now, m.Priority):
-		g.refuseFor(m.ID, kind.Full, overloadWindow)
+		g.refuseFor(m.ID, g.shortage(), overloadWindow)
 		return
 	case m.Far && !g.spares(&m):
-		g.reject(&m, kind.Full)
+		g.reject(&m, g.shortage())
 		return
 	case g.fits(&m):
 		// What is queued then waits for the link, and not for a slot.
@@ -183,7 +194,7 @@
 	ok := g.inTime(m)
 	g.overload.decided(m.Priority, !ok)
 	if !ok {
-		g.reject(&m, kind.Full)
+		g.reject(&m, g.shortage())
 		return
 	}
 	if g.overShare(m.Caller) {
@@ -191,7 +202,7 @@
 		return
 	}
 	if len(g.queue) >= g.queueMax && !g.evict(m.Priority) {
-		g.reject(&m, kind.Full)
+		g.reject(&m, g.shortage())
 		return
 	}
 	g.queue = append(g.queue, waiting{m, g.now})
@@ -199,7 +210,7 @@
 
 // fits tells whether a call can be started now.
 func (g *Gate) fits(a *Arrive) bool {
-	return g.free(a) > 0 && g.bodies.room(a)
+	return g.free(a) > 0 && g.bodies.room(a) && g.pacer.ready(g.now)
 }
 
 // free is how many slots a call may choose from.
@@ -243,13 +254,14 @@
 		w := g.queue[i]
 		g.queue = append(g.queue[:i], g.queue[i+1:]...)
 		if !g.startable(w) {
-			g.reject(&w.Arrive, kind.Full)
+			g.reject(&w.Arrive, g.shortage())
 			continue
 		}
 		g.running[w.ID] = w.Priority
 		g.reserve.running[w.Priority]++
 		g.overload.started(g.now, w.Priority)
 		g.bodies.begin(g.now, &w.Arrive)
+		g.pacer.take(g.now)
 		g.turn[w.Caller]++
 		g.cmds = append(g.cmds, Start{w.ID})
 	}
--- a/briarrockd/target/gate_test.go
+++ b/briarrockd/target/gate_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"briarrock.example/mesh/kind"
 	"briarrock.example/mesh/snapshot"
 )
 
@@ -81,6 +82,14 @@
 		return Ended{ID: CallID(id), Route: route, Took: time.Duration(ms) * time.Millisecond, Shed: d.HasArg("shed"), Failed: d.HasArg("failed")}
 	case "drain":
 		return Drain{On: true}
+	case "rate":
+		var text string
+		d.MaybeScanArgs(t, "of", &text)
+		r, err := ParseRate(text)
+		if text != "" {
+			qt.Assert(t, err, qt.IsNil)
+		}
+		return Throttle{r}
 	case "tick":
 		return Tick{}
 	}
@@ -96,6 +105,9 @@
 			fmt.Fprintf(&b, "start %d\n", c.ID)
 		case Refuse:
 			fmt.Fprintf(&b, "refuse %d %s after %d\n", c.ID, string(c.Kind), c.After)
+			if c.Kind == kind.Rate {
+				fmt.Fprintf(&b, "worth asking again in %v\n", c.Wait.Round(time.Millisecond))
+			}
 		}
 	}
 	return b.String()
@@ -150,7 +162,7 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
 			case 0, 1, 2:
 				next++
 				waiting[next] = true
@@ -172,6 +184,8 @@
 				}
 			case 5:
 				handle(g.Step(now, Tick{}))
+			case 6:
+				handle(g.Step(now, Throttle{rapid.SampledFrom([]Rate{{}, NewRate(0), NewRate(5), NewRate(1000)}).Draw(t, "rate")}))
 			}
 		}
 		// With time, all that waits is run or refused.
@@ -180,6 +194,14 @@
 			delete(running, id)
 			handle(g.Step(now.Add(time.Second), Ended{ID: id, Took: time.Millisecond}))
 		}
+		for at := g.NextTick(); !at.IsZero(); at = g.NextTick() {
+			handle(g.Step(at, Tick{}))
+			for len(running) > 0 {
+				id, _ := least(running)
+				delete(running, id)
+				handle(g.Step(at, Ended{ID: id, Took: time.Millisecond}))
+			}
+		}
 		if len(waiting) > 0 {
 			t.Fatalf("%d calls hang", len(waiting))
 		}
--- a/briarrockd/target/message.go
+++ b/briarrockd/target/message.go
@@ -58,19 +58,23 @@
 	Link float64
 }
 
+// Throttle bounds the calls that start in a second to what the target takes.
+type Throttle struct{ Rate Rate }
+
 // Drain says that the target leaves: what runs may end, nothing else starts.
 type Drain struct{ On bool }
 
 // Tick says that time has passed.
 type Tick struct{}
 
-func (Arrive) msg() {}
-func (Gone) msg()   {}
-func (Taken) msg()  {}
-func (Ended) msg()  {}
-func (Limits) msg() {}
-func (Drain) msg()  {}
-func (Tick) msg()   {}
+func (Arrive) msg()   {}
+func (Gone) msg()     {}
+func (Taken) msg()    {}
+func (Ended) msg()    {}
+func (Limits) msg()   {}
+func (Throttle) msg() {}
+func (Drain) msg()    {}
+func (Tick) msg()     {}
 
 // Cmd is what a gate decides.
 type Cmd interface{ cmd() }
--- a/briarrockd/target/observe.go
+++ b/briarrockd/target/observe.go
@@ -34,14 +34,21 @@
 			return
 		}
 	}
-	now := time.Now()
+	t.setRate(x, "answer", func(n *namedRate) { n.answered(sent, time.Now(), r) })
+}
+
+// setRate changes what is known of a target's rate, and bounds its calls by that.
+func (t *Targets) setRate(x *target, source string, change func(*namedRate)) {
 	x.mu.Lock()
 	old := x.named
-	x.named.answered(sent, now, r)
+	change(&x.named)
 	named := x.named
+	if named.rate != old.rate {
+		x.stepLocked(Throttle{named.rate})
+	}
 	x.mu.Unlock()
 	if named.rate != old.rate {
-		t.logRate(x, old, named, "answer")
+		t.logRate(x, old, named, source)
 	}
 }
 
@@ -51,25 +58,55 @@
 		"from": old.rate.String(), "rate": named.rate.String(), "source": source,
 	}
 	if !old.at.IsZero() {
-		f["age"] = named.at.Sub(old.at).Milliseconds()
+		f["age"] = time.Since(old.at).Milliseconds()
 	}
 	t.deps.Log.Emit(event.TargetRate, f)
 }
 
+// learn takes what a caller's node reports of this host's targets. A process that was
+// started beside a target knows nothing of what that has said before.
+func (t *Targets) learn(reports []Notice) {
+	if len(reports) == 0 {
+		return
+	}
+	for _, x := range t.list() {
+		for _, n := range reports {
+			if n.Process == x.process {
+				t.setRate(x, "report", func(known *namedRate) { known.reported(n.Rate) })
+			}
+		}
+	}
+}
+
+// notice is what this node reports of a target; false if that has told nothing.
+func (x *target) notice() (Notice, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return Notice{Process: x.process, Rate: x.named.rate, At: x.named.at}, x.named.ever
+}
+
 // limited is how many targets of this host name a rate now.
 func (t *Targets) limited() int {
 	n := 0
 	for _, x := range t.list() {
-		if r := x.rate(); r.bounded {
+		if told, _ := x.notice(); told.Rate.bounded {
 			n++
 		}
 	}
 	return n
 }
 
-// rate is the rate that the target names now.
-func (x *target) rate() Rate {
+// logRate adds the rate in force to the fields of a call's line, with how many calls it
+// lets start now and how long ago an answer named it.
+func (x *target) logRate(f event.Fields) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.named.rate
+	if !x.named.rate.bounded {
+		return
+	}
+	now := time.Now()
+	f["rate"], f["tokens"] = x.named.rate.String(), x.gate.pacer.tokens(now)
+	if !x.named.at.IsZero() {
+		f["rateage"] = now.Sub(x.named.at).Milliseconds()
+	}
 }
--- /dev/null
+++ b/briarrockd/target/observe_test.go
@@ -0,0 +1,129 @@
+package target
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"briarrock.example/mesh/kind"
+)
+
+// telling is a transport to a target whose answers all have one status and head.
+type telling struct {
+	status int
+	head   http.Header
+}
+
+// RoundTrip implements http.RoundTripper.
+func (x *telling) RoundTrip(req *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: x.status, Header: x.head.Clone(), Body: http.NoBody, Request: req}, nil
+}
+
+// send sends a call that bears what its node reports, if anything.
+func send(x *Targets, reports ...Notice) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	r.Header.Set(HeaderService, "posting")
+	r.Header.Set(HeaderDeadline, "200")
+	WriteNotices(r.Header, time.Now(), reports...)
+	w := httptest.NewRecorder()
+	x.ServeHTTP(w, r)
+	return w
+}
+
+func kindOf(w *httptest.ResponseRecorder) kind.Kind {
+	return kind.Kind(w.Header().Get(kind.HeaderKind))
+}
+
+// TestRateInAnyAnswer guards against a rate that is taken from successes alone: refusals,
+// failures and health checks name it as well.
+func TestRateInAnyAnswer(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		status int
+		head   http.Header
+	}{
+		{"failure", http.StatusInternalServerError, http.Header{HeaderRate: {"1"}}},
+		{"not found", http.StatusNotFound, http.Header{HeaderRate: {"1"}}},
+		{"refusal", http.StatusServiceUnavailable, http.Header{HeaderRate: {"1"}, kind.HeaderRan: {"no"}}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ts := newBodyHost(&telling{x.status, x.head})
+				defer ts.Close()
+				w := send(ts)
+				told := ReadNotices(w.Header(), time.Now())
+				c.Assert(told, qt.HasLen, 1)
+				c.Check(told[0].Rate, qt.Equals, NewRate(1))
+				w = send(ts)
+				c.Check(kindOf(w), qt.Equals, kind.Rate)
+				c.Check(w.Header().Get(kind.HeaderRan), qt.Equals, "no")
+				c.Check(w.Header().Get(kind.HeaderAfter), qt.Not(qt.Equals), "")
+			})
+		})
+	}
+}
+
+// TestRateInHealthCheck guards against a target that has just come, names a rate to its
+// health check and gets more before its first answer; and against a check without one
+// that ends it.
+func TestRateInHealthCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tr := &telling{http.StatusOK, http.Header{HeaderRate: {"1"}}}
+		ts := newBodyHost(tr)
+		defer ts.Close()
+		x := ts.list()[0]
+		c.Check(ts.healthy(x), qt.IsTrue)
+		c.Check(kindOf(send(ts)), qt.Equals, kind.Rate)
+		tr.head = http.Header{}
+		c.Check(ts.healthy(x), qt.IsTrue)
+		c.Check(kindOf(send(ts)), qt.Equals, kind.Rate)
+	})
+}
+
+// TestReportedRate guards against a node that has replaced the target's and lets more
+// pass than other nodes were told, and against old reports that outlive the target's own
+// answers or bind another process.
+func TestReportedRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ts := newBodyHost(&telling{http.StatusOK, http.Header{}})
+		defer ts.Close()
+		x := ts.list()[0]
+		c.Check(kindOf(send(ts, Notice{Process: "another/0", Rate: NewRate(1)})), qt.Equals, kind.None)
+		ts.drop(x, "test")
+		ts.Heard(Announcement{Service: "posting", Addr: address, Slots: 1, State: StateUp})
+		report := Notice{Process: x.process, Rate: NewRate(1), At: time.Now()}
+		c.Check(kindOf(send(ts, report)), qt.Equals, kind.Rate)
+		time.Sleep(time.Second)
+		c.Check(kindOf(send(ts, report)), qt.Equals, kind.None) // its answer names none
+		c.Check(kindOf(send(ts, report)), qt.Equals, kind.None)
+	})
+}
+
+// TestNotices guards against notices that don't arrive as they were sent, and malformed
+// ones that count.
+func TestNotices(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	sent := []Notice{
+		{Process: "i-1/7", Rate: NewRate(24.9), At: now.Add(-time.Second)},
+		{Process: "10.0.0.7:80/0", Rate: NewRate(0)},
+		{Process: "i 2&rate=5/7"},
+	}
+	h := make(http.Header)
+	WriteNotices(h, now, sent...)
+	got := ReadNotices(h, now)
+	c.Assert(got, qt.HasLen, len(sent))
+	for i := range sent {
+		c.Check(got[i] == sent[i], qt.IsTrue, qt.Commentf("%+v", got[i]))
+	}
+	for _, text := range []string{"", "rate=5", "process=&rate=5", "process=a&rate=many", "process=a&age=-1", "process=a&age=99999999999999999", "%"} {
+		c.Check(ReadNotices(http.Header{HeaderNotice: {text}}, now), qt.HasLen, 0, qt.Commentf("%q", text))
+	}
+}
--- a/briarrockd/target/queue.go
+++ b/briarrockd/target/queue.go
@@ -60,8 +60,8 @@
 }
 
 // expected is how many calls go before one that arrives, and how long it is
-// expected to be queued: for a slot if none is free, and for the link if its
-// body has to wait for others.
+// expected to be queued: for a slot if none is free, for its turn at the target's
+// rate, and for the link if its body has to wait for others.
 func (g *Gate) expected(m Arrive) (ahead int, wait time.Duration) {
 	own := waiting{m, g.now}
 	for i := range g.queue {
@@ -72,6 +72,7 @@
 	if g.free(&m) <= 0 {
 		wait = g.wait(ahead, m.Priority)
 	}
+	wait = max(wait, g.pacer.wait(g.now, ahead))
 	if g.bodies.long(&m) {
 		wait += g.bodies.wait(g.queuedBytes(&own))
 	}
@@ -120,7 +121,7 @@
 	if worst < 0 {
 		return false
 	}
-	g.reject(&g.queue[worst].Arrive, kind.Full)
+	g.reject(&g.queue[worst].Arrive, g.shortage())
 	g.queue = append(g.queue[:worst], g.queue[worst+1:]...)
 	return true
 }
@@ -144,7 +145,7 @@
 		case !w.Deadline.After(g.now):
 			g.refuse(w.ID, kind.Deadline)
 		case w.Aim.After(w.at) && !w.Aim.After(g.now) && !g.overload.first(g.now, w.Priority):
-			g.reject(&w.Arrive, kind.Full)
+			g.reject(&w.Arrive, g.shortage())
 		default:
 			kept = append(kept, w)
 		}
@@ -190,12 +191,15 @@
 	return soonest
 }
 
-// NextDeadline is when the gate wants its next Tick; zero for not at all.
-func (g *Gate) NextDeadline() time.Time {
+// NextTick is when the gate wants its next Tick; zero for not at all.
+func (g *Gate) NextTick() time.Time {
 	if len(g.queue) == 0 {
 		return time.Time{}
 	}
 	var at time.Time
+	if len(g.running) < g.allowed() && !g.pacer.ready(g.now) {
+		at = g.now.Add(g.pacer.wait(g.now, 0))
+	}
 	for _, w := range g.queue {
 		ends := w.Deadline
 		if w.Aim.After(g.now) && w.Aim.Before(ends) {
--- a/briarrockd/target/rate.go
+++ b/briarrockd/target/rate.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	"briarrock.example/mesh/event"
 )
 
 // ErrRate says that a rate is malformed.
@@ -54,7 +52,8 @@
 // after the rate in force had been received; among others the stricter rate holds.
 type namedRate struct {
 	rate Rate
-	at   time.Time // when it was received last
+	at   time.Time // when an answer named it last; zero if none has come here
+	ever bool      // a rate has been named
 }
 
 // answered takes the rate in an answer, none included, whose request was sent at sent.
@@ -63,11 +62,13 @@
 		return
 	}
 	n.rate, n.at = r, now
+	n.ever = n.ever || r.bounded
 }
 
-// log adds the rate to the fields of a log line, if there is a bound.
-func (r Rate) log(f event.Fields) {
-	if r.bounded {
-		f["rate"] = r.String()
+// reported takes the rate that another node was told. It holds until the first answer:
+// this process gets all of them, and so knows better from then on.
+func (n *namedRate) reported(r Rate) {
+	if n.at.IsZero() && r.stricter(n.rate) {
+		n.rate, n.ever = r, true
 	}
 }
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -67,9 +67,9 @@
 	}
 }
 
-// setTimer wakes the gate when the first queued call's deadline passes.
+// setTimer wakes the gate when a queued call's deadline passes or its turn comes.
 func (x *target) setTimer() {
-	at := x.gate.NextDeadline()
+	at := x.gate.NextTick()
 	if at.IsZero() {
 		if x.timer != nil {
 			x.timer.Stop()
@@ -163,6 +163,7 @@
 		relay.Fail(w, kind.Request, kind.RanNo, 0)
 		return
 	}
+	t.learn(ReadNotices(r.Header, now))
 	x := t.find(c.service)
 	if x == nil {
 		t.refuse(w, c, nil, Refuse{Kind: kind.Drain})
@@ -238,10 +239,13 @@
 
 func (t *Targets) refuse(w http.ResponseWriter, c call, x *target, r Refuse) {
 	t.refused.Inc()
+	if r.Kind == kind.Rate {
+		t.overRate.Inc()
+	}
 	f := event.Fields{"trace": c.trace, "service": c.service, "priority": c.priority, "kind": string(r.Kind), "after": r.Wait.Milliseconds()}
 	if x != nil {
-		f["target"], f["load"] = x.addr, x.writeLoad(w.Header())
-		x.rate().log(f)
+		f["target"], f["load"] = x.addr, x.writeState(w.Header())
+		x.logRate(f)
 	}
 	t.deps.Log.Call(event.RunRefused, f, false)
 	if r.Wait > 0 {
@@ -251,8 +255,9 @@
 	relay.Fail(w, r.Kind, kind.RanNo, r.After)
 }
 
-// writeLoad puts into a head how taken the target is, and returns that.
-func (x *target) writeLoad(h http.Header) string {
+// writeState puts into a head how taken the target is and what it has told of itself. It
+// returns the load.
+func (x *target) writeState(h http.Header) string {
 	x.mu.Lock()
 	load, usual := x.gate.Load(), x.gate.Usual()
 	x.mu.Unlock()
@@ -261,6 +266,9 @@
 	if usual > 0 {
 		h.Set(HeaderUsual, strconv.FormatInt(usual.Milliseconds(), 10))
 	}
+	if n, ok := x.notice(); ok {
+		WriteNotices(h, time.Now(), n)
+	}
 	return text
 }
 
@@ -306,7 +314,7 @@
 	}
 	ended.Failed = res.StatusCode >= http.StatusInternalServerError
 	t.tell(c, x, ended.Took, strconv.Itoa(res.StatusCode), nil)
-	_ = x.writeLoad(w.Header())
+	_ = x.writeState(w.Header())
 	w.Header().Set(kind.HeaderRan, kind.RanYes.String())
 	out = relay.Answer(w, res, t.deps.Stall)
 	if out.Kind != kind.None {
@@ -352,7 +360,7 @@
 	if cause != nil {
 		f["cause"] = cause.Error()
 	}
-	x.rate().log(f)
+	x.logRate(f)
 	t.deps.Log.Call(event.RunEnded, f, plain)
 }
 
@@ -417,7 +425,7 @@
 	case kind.Broken:
 		t.lookForCrash(x, c)
 	}
-	_ = x.writeLoad(w.Header())
+	_ = x.writeState(w.Header())
 	relay.Fail(w, out.Kind, ran, 0)
 }
 
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -124,9 +124,10 @@
 	// the time of their start.
 	left map[string]int64
 
-	started *metrics.Counter
-	refused *metrics.Counter
-	waited  *metrics.Histogram
+	started  *metrics.Counter
+	refused  *metrics.Counter
+	overRate *metrics.Counter
+	waited   *metrics.Histogram
 }
 
 // target is one target with its gate and its connections. Its service and its
@@ -135,6 +136,8 @@
 type target struct {
 	service string
 	addr    string
+	// process names the target's process among all that have its name or address.
+	process string
 	url     *url.URL
 	said    Announcement
 	heardAt time.Time
@@ -176,6 +179,7 @@
 		configured: make(chan struct{}),
 		started:    d.Metrics.GetOrCreateCounter("briarrock_target_calls_total"),
 		refused:    d.Metrics.GetOrCreateCounter("briarrock_target_refused_total"),
+		overRate:   d.Metrics.GetOrCreateCounter("briarrock_target_overrate_total"),
 		waited:     d.Metrics.GetOrCreateHistogram("briarrock_target_waited_seconds"),
 	}
 	d.Metrics.GetOrCreateGauge("briarrock_target_running", func() float64 { return float64(t.Running()) })
--- a/mesh/kind/kind.go
+++ b/mesh/kind/kind.go
@@ -79,6 +79,7 @@
 	Caller   Kind = "caller"   // this caller may not use the route
 	Empty    Kind = "empty"    // the service has no live target
 	Full     Kind = "full"     // slots and queue of the target are taken
+	Rate     Kind = "rate"     // the target takes no more requests a second
 	Shed     Kind = "shed"     // the target itself refused the request, unrun
 	Limit    Kind = "limit"    // the caller's share of a queue is taken
 	Drain    Kind = "drain"    // the target or the node is leaving
@@ -120,6 +121,7 @@
 	Caller:   {http.StatusForbidden, RanNo, false, 0, "this caller may not use the route"},
 	Empty:    {http.StatusServiceUnavailable, RanNo, true, 1, "the service has no live target"},
 	Full:     {http.StatusServiceUnavailable, RanNo, true, 1, "the service is at its limit"},
+	Rate:     {http.StatusServiceUnavailable, RanNo, true, 1, "the target takes no more requests a second"},
 	Shed:     {http.StatusServiceUnavailable, RanNo, true, 1, "the target refused the request"},
 	Limit:    {http.StatusTooManyRequests, RanNo, true, 1, "this caller is over its share"},
 	Drain:    {http.StatusServiceUnavailable, RanNo, true, 1, "the target is leaving"},
