target, caller: keep requests from targets that say in an answer that they leave

Why it works: the target's node acts on the answer as on an announcement that it drains, for that process for good, and tells the mesh. Nodes that have passed such an answer on report it with their requests to that host, so a node that has just replaced the target's refuses them before anything reaches the target, whatever announcements say. Health checks tell it as well.

--- a/briarrockd/caller/state.go
+++ b/briarrockd/caller/state.go
@@ -139,12 +139,14 @@
 func (s *state) observeNotice(n target.Notice) {
 	list := make([]target.Notice, 0, maxTold)
 	for _, old := range s.notices {
-		switch {
-		case old.Process != n.Process:
+		if old.Process != n.Process {
 			list = append(list, old)
-		case old.At.After(n.At):
-			n = old
+			continue
 		}
+		if old.At.After(n.At) {
+			n.Rate, n.At = old.Rate, old.At
+		}
+		n.Leaving = n.Leaving || old.Leaving
 	}
 	if len(list) == maxTold {
 		list = list[1:]
--- a/briarrockd/target/announce.go
+++ b/briarrockd/target/announce.go
@@ -71,12 +71,12 @@
 	x.heard++
 	x.behind = 0
 	t.noteLeaving(a)
-	gone := t.gone
+	drain := t.gone || x.drains()
 	t.mu.Unlock()
 	if isNew {
 		t.deps.Log.Emit(event.TargetUp, event.Fields{event.Subject: a.Addr, "service": a.Service, "id": a.ID, "born": a.Born, "seq": a.Seq, "state": a.State, "slots": a.Slots})
 	}
-	t.believe(x, old, a, isNew, gone)
+	t.believe(x, old, a, isNew, drain)
 	return true
 }
 
@@ -109,11 +109,11 @@
 	t.left[id] = max(t.left[id], born)
 }
 
-// believe acts on an announcement that is not late.
-func (t *Targets) believe(x *target, old, a Announcement, isNew, gone bool) {
+// believe acts on an announcement that is not late. drain is set if nothing new may run.
+func (t *Targets) believe(x *target, old, a Announcement, isNew, drain bool) {
 	if isNew || old.Slots != a.Slots || old.State != a.State {
 		x.step(t.limits(a))
-		x.step(Drain{On: gone || a.State == StateDraining})
+		x.step(Drain{On: drain})
 		t.deps.Log.Emit(event.TargetState, event.Fields{event.Subject: a.Addr, "id": a.ID, "from": old.State, "state": a.State, "seq": a.Seq})
 	}
 	admitted := t.admit(x)
@@ -164,7 +164,7 @@
 		ok := t.healthy(x)
 		t.mu.Lock()
 		same := t.all[x.addr] == x
-		done := x.admitted || !same || x.said.State == StateDraining
+		done := x.admitted || !same || x.drains()
 		if ok && same {
 			x.admitted = true
 		}
@@ -209,9 +209,7 @@
 	if err != nil {
 		return false
 	}
-	if res.Header.Get(HeaderRate) != "" {
-		t.observeRate(x, res.Header, sent)
-	}
+	t.observeHealth(x, res.Header, sent)
 	_ = relay.Whole(res, maxAnnouncement)
 	t.deps.Log.Emit(event.TargetState, event.Fields{event.Subject: x.addr, "id": id, "health": res.StatusCode})
 	return res.StatusCode == http.StatusOK
--- a/briarrockd/target/notice.go
+++ b/briarrockd/target/notice.go
@@ -22,6 +22,8 @@
 	Process string
 	// Rate is what it takes.
 	Rate Rate
+	// Leaving is set once it is about to stop. No process takes that back.
+	Leaving bool
 	// At is when that was told last; zero if this is not known.
 	At time.Time
 }
@@ -30,6 +32,7 @@
 const (
 	noticeProcess = "process"
 	noticeRate    = "rate"
+	noticeLeaving = "leaving"
 	noticeAge     = "age" // milliseconds
 )
 
@@ -40,6 +43,9 @@
 		if n.Rate.bounded {
 			v.Set(noticeRate, n.Rate.String())
 		}
+		if n.Leaving {
+			v.Set(noticeLeaving, "1")
+		}
 		if !n.At.IsZero() {
 			v.Set(noticeAge, strconv.FormatInt(now.Sub(n.At).Milliseconds(), 10))
 		}
@@ -63,7 +69,7 @@
 	if err != nil || v.Get(noticeProcess) == "" {
 		return Notice{}, false
 	}
-	n := Notice{Process: v.Get(noticeProcess)}
+	n := Notice{Process: v.Get(noticeProcess), Leaving: v.Has(noticeLeaving)}
 	if v.Has(noticeRate) {
 		if n.Rate, err = ParseRate(v.Get(noticeRate)); err != nil {
 			return Notice{}, false
--- a/briarrockd/target/observe.go
+++ b/briarrockd/target/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"briarrock.example/mesh/event"
@@ -20,11 +21,49 @@
 // that was sent at sent.
 func (t *Targets) observe(x *target, h http.Header, sent time.Time) {
 	t.observeRate(x, h, sent)
-	if h.Get(HeaderLeaving) != "" {
-		t.deps.Log.Emit(event.TargetState, event.Fields{event.Subject: x.addr, "id": t.lastAnnouncement(x).ID, "leaving": "answer"})
+	t.observeLeaving(x, h, "answer")
+}
+
+// observeHealth takes what a target tells in the answer to a health check. One that names
+// no rate ends none: only answers to requests are known to name it.
+func (t *Targets) observeHealth(x *target, h http.Header, sent time.Time) {
+	if h.Get(HeaderRate) != "" {
+		t.observeRate(x, h, sent)
+	}
+	t.observeLeaving(x, h, "health")
+}
+
+func (t *Targets) observeLeaving(x *target, h http.Header, source string) {
+	text := h.Get(HeaderLeaving)
+	if text == "" {
+		return
+	}
+	leaving, err := strconv.ParseBool(text)
+	if err != nil {
+		t.deps.Log.Emit(event.AnswerBad, event.Fields{event.Subject: x.addr, "service": x.service, "leaving": text, "reason": "neither true nor false"})
+		return
+	}
+	if leaving {
+		t.leave(x, source)
 	}
 }
 
+// leave ends new calls to a target that is about to stop. Within one process that is final,
+// whatever announcements were under way.
+func (t *Targets) leave(x *target, source string) {
+	if x.leaving.Swap(true) {
+		return
+	}
+	t.mu.Lock()
+	said := x.said
+	said.State = StateDraining
+	t.noteLeaving(said)
+	t.mu.Unlock()
+	t.deps.Log.Emit(event.TargetState, event.Fields{event.Subject: x.addr, "id": said.ID, "state": StateDraining, "source": source})
+	x.step(Drain{On: true})
+	t.changed()
+}
+
 func (t *Targets) observeRate(x *target, h http.Header, sent time.Time) {
 	var r Rate
 	if text := h.Get(HeaderRate); text != "" {
@@ -71,8 +110,12 @@
 	}
 	for _, x := range t.list() {
 		for _, n := range reports {
-			if n.Process == x.process {
-				t.setRate(x, "report", func(known *namedRate) { known.reported(n.Rate) })
+			if n.Process != x.process {
+				continue
+			}
+			t.setRate(x, "report", func(known *namedRate) { known.reported(n.Rate) })
+			if n.Leaving {
+				t.leave(x, "report")
 			}
 		}
 	}
@@ -82,7 +125,8 @@
 func (x *target) notice() (Notice, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return Notice{Process: x.process, Rate: x.named.rate, At: x.named.at}, x.named.ever
+	n := Notice{Process: x.process, Rate: x.named.rate, Leaving: x.leaving.Load(), At: x.named.at}
+	return n, x.named.ever || n.Leaving
 }
 
 // limited is how many targets of this host name a rate now.
--- a/briarrockd/target/observe_test.go
+++ b/briarrockd/target/observe_test.go
@@ -106,6 +106,46 @@
 	})
 }
 
+// TestLeavingInAnswer guards against requests for a target that has said in an answer, or
+// to a health check, that it leaves, against announcements that take that back, and
+// against a word that is no answer to the question.
+func TestLeavingInAnswer(t *testing.T) {
+	up := Announcement{Service: "posting", Addr: address, Slots: 1, State: StateUp, ID: "i-1", Born: 7, Seq: 9}
+	for _, x := range []struct {
+		value  string
+		leaves bool
+		tell   func(ts *Targets)
+	}{
+		{"1", true, func(ts *Targets) { send(ts) }},
+		{"1", true, func(ts *Targets) { ts.healthy(ts.list()[0]) }},
+		{"0", false, func(ts *Targets) { send(ts) }},
+		{"soon", false, func(ts *Targets) { send(ts) }},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			tr := &telling{http.StatusOK, http.Header{}}
+			ts := newBodyHost(tr)
+			defer ts.Close()
+			ts.Heard(up)
+			time.Sleep(time.Second) // its health check
+			tr.head.Set(HeaderLeaving, x.value)
+			x.tell(ts)
+			tr.head.Del(HeaderLeaving)
+			ts.Heard(up)
+			want := kind.None
+			if x.leaves {
+				want = kind.Drain
+			}
+			c.Check(kindOf(send(ts)), qt.Equals, want, qt.Commentf("%s", x.value))
+			next := up
+			next.Born += 10000
+			ts.Heard(next)
+			time.Sleep(time.Second)
+			c.Check(kindOf(send(ts)), qt.Equals, kind.None)
+		})
+	}
+}
+
 // TestNotices guards against notices that don't arrive as they were sent, and malformed
 // ones that count.
 func TestNotices(t *testing.T) {
@@ -115,6 +155,7 @@
 		{Process: "i-1/7", Rate: NewRate(24.9), At: now.Add(-time.Second)},
 		{Process: "10.0.0.7:80/0", Rate: NewRate(0)},
 		{Process: "i 2&rate=5/7"},
+		{Process: "i-3/7", Rate: NewRate(2), Leaving: true},
 	}
 	h := make(http.Header)
 	WriteNotices(h, now, sent...)
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -20,6 +20,7 @@
 	"net/url"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -154,7 +155,9 @@
 	lastID    CallID
 	timer     *time.Timer
 	named     namedRate
-	mu        sync.Mutex
+	// leaving is set once the target has told in an answer that it is about to stop.
+	leaving atomic.Bool
+	mu      sync.Mutex
 }
 
 // New starts with no targets. Close stops it.
@@ -330,7 +333,7 @@
 		out = append(out, peer.Target{
 			Service:  x.service,
 			Slots:    x.said.Slots,
-			Draining: t.gone || !x.admitted || x.said.State == StateDraining,
+			Draining: t.gone || !x.admitted || x.drains(),
 		})
 	}
 	t.mu.Unlock()
@@ -338,6 +341,10 @@
 	t.deps.Changed(out)
 }
 
+// drains tells whether the target has said that it is about to stop. The lock of Targets
+// must be held.
+func (x *target) drains() bool { return x.said.State == StateDraining || x.leaving.Load() }
+
 // sweep drops targets that have stopped announcing themselves.
 func (t *Targets) sweep() {
 	tick := time.NewTicker(sweepEvery)
