target: prefer a target that stays to one that leaves on the same host

Callers saw: refusals (drain) for as long as a target drains, though another target of the service on the same host had room. Why it works: targets that leave are passed over while another is there.

--- a/briarrockd/target/observe_test.go
+++ b/briarrockd/target/observe_test.go
@@ -168,3 +168,29 @@
 		c.Check(ReadNotices(http.Header{HeaderNotice: {text}}, now), qt.HasLen, 0, qt.Commentf("%q", text))
 	}
 }
+
+// TestLeavingBesideAnother guards against calls that are refused for a target which leaves
+// while another one of its service on the same host has room.
+func TestLeavingBesideAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ts := newBodyHost(&telling{http.StatusOK, http.Header{}})
+		defer ts.Close()
+		other := Announcement{Service: "posting", Addr: "10.0.0.7:81", Slots: 1, State: StateUp}
+		ts.Heard(other)
+		for _, leaves := range []string{address, other.Addr} {
+			ts.Heard(Announcement{Service: "posting", Addr: address, Slots: 1, State: stateIf(leaves == address)})
+			ts.Heard(Announcement{Service: "posting", Addr: other.Addr, Slots: 1, State: stateIf(leaves == other.Addr)})
+			for range 4 {
+				c.Check(kindOf(send(ts)), qt.Equals, kind.None, qt.Commentf("%s leaves", leaves))
+			}
+		}
+	})
+}
+
+func stateIf(draining bool) string {
+	if draining {
+		return StateDraining
+	}
+	return StateUp
+}
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -212,12 +213,18 @@
 	return true
 }
 
-// find is the least taken target of a service on this host.
+// find is the least taken target of a service on this host. One that leaves looks idle,
+// and is returned only if there is no other.
 func (t *Targets) find(service string) *target {
-	var best *target
+	var best, leaving *target
 	least := 0.0
 	for _, x := range t.list() {
-		if x.service != service || !t.open(x) {
+		admitted, drains := t.open(x)
+		if x.service != service || !admitted {
+			continue
+		}
+		if drains {
+			leaving = x
 			continue
 		}
 		x.mu.Lock()
@@ -227,14 +234,14 @@
 			best, least = x, load
 		}
 	}
-	return best
+	return cmp.Or(best, leaving)
 }
 
-// open tells whether calls may pass to a target at all.
-func (t *Targets) open(x *target) bool {
+// open tells whether calls may pass to a target at all, and whether it leaves.
+func (t *Targets) open(x *target) (admitted, drains bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return x.admitted
+	return x.admitted, x.drains()
 }
 
 func (t *Targets) refuse(w http.ResponseWriter, c call, x *target, r Refuse) {
