--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -383,17 +383,3 @@
 	x.pool.Close()
 	t.changed()
 }
-
-// Load returns how taken the targets of a service are here, 1 for fully.
-func (t *Targets) Load(service string) float64 {
-	least := 1.0
-	for _, x := range t.list() {
-		if x.service != service {
-			continue
-		}
-		x.mu.Lock()
-		least = min(least, x.gate.Load())
-		x.mu.Unlock()
-	}
-	return least
-}
