--- a/briarrockd/http1/crowd_test.go
+++ b/briarrockd/http1/crowd_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,15 +27,19 @@
 	nc := dial(c, l.Addr().String())
 	send(c, nc, "GET / HTTP/1.1\nHost: a\n\n")
 	c.Assert(nc.(*net.TCPConn).CloseWrite(), qt.IsNil)
+	var handled atomic.Bool
 	s := http1.NewServer(http1.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		handled.Store(true)
 		_, _ = io.WriteString(w, "handled")
 	})})
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(l) }()
-	defer func() { s.Close(); <-done }()
 	got, err := io.ReadAll(nc)
 	c.Check(err, qt.IsNil)
 	c.Check(string(got), qt.Equals, "")
+	s.Close()
+	<-done
+	c.Check(handled.Load(), qt.IsFalse)
 }
 
 // TestCrowd opens more connections than a server may hold, all of them idle
