--- a/briarrockd/target/observe.go
+++ b/briarrockd/target/observe.go
@@ -149,7 +149,7 @@
 		return
 	}
 	now := time.Now()
-	f["rate"], f["tokens"] = x.named.rate.String(), x.gate.pacer.tokens(now)
+	f["rate"], f["tokens"] = x.named.rate.String(), strconv.FormatFloat(x.gate.pacer.tokens(now), 'f', 2, 64)
 	if !x.named.at.IsZero() {
 		f["rateage"] = now.Sub(x.named.at).Milliseconds()
 	}
