target: take the load of a gate at the time of the choice

Callers saw: a target beside another one of its service on the same host that got nothing more once it had shed a call, or named a rate, and had run out of turns: its load was that of its last step, and no step came since it was not chosen. Found while the load of a limited target was read. Evidence: TestIdleAgain failed before for both; an idle target two windows later counted as taken. Why it works: Load takes the time, so the windows after a refusal and the bucket are those of now. A host of the users' platform has one target: nothing changes there.

--- a/briarrockd/caller/fleet_test.go
+++ b/briarrockd/caller/fleet_test.go
@@ -193,7 +193,7 @@
 	least := math.Inf(1)
 	for _, u := range f.set {
 		s := f.servers[u.host]
-		cost := s.pace * (1 + max(0, s.gate.Load()-1+1.0/fleetSlots))
+		cost := s.pace * (1 + max(0, s.gate.Load(f.now)-1+1.0/fleetSlots))
 		if slices.Contains(tried, u.host) {
 			continue
 		}
@@ -201,7 +201,7 @@
 		if u.far {
 			cost += farRegion
 		}
-		if cost += 0.01 * s.gate.Load(); cost < least {
+		if cost += 0.01 * s.gate.Load(f.now); cost < least {
 			best, least = u, cost
 		}
 	}
@@ -244,7 +244,7 @@
 }
 
 func (f *fleet) feedback(s *server) Feedback {
-	return Feedback{Load: s.gate.Load(), Usual: s.gate.Usual(), Priority: snapshot.Normal}
+	return Feedback{Load: s.gate.Load(f.now), Usual: s.gate.Usual(), Priority: snapshot.Normal}
 }
 
 func (c *fleetCall) ended(u upstream, s *server, id target.CallID, took, hop time.Duration) {
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -77,15 +77,14 @@
 	return g.cmds
 }
 
-// Load is how taken the gate is: 1 when every slot runs and nothing waits.
+// Load is how taken the gate is at now: 1 when every slot runs and nothing waits.
 //
-// A target that refuses work is quick about it, and would look idle: the more
-// it refused, the more calls it would draw. So for a while after a refusal it
-// counts as taken.
-func (g *Gate) Load() float64 {
+// Rejections are fast, so a target that sheds would look idle and attract more load:
+// for a while after one it counts as taken.
+func (g *Gate) Load(now time.Time) float64 {
 	load := float64(len(g.running)+len(g.queue)) / float64(g.allowed())
-	load = max(load, g.bodies.load(g.now, g.queuedBytes(nil)), g.pacer.load(g.now))
-	if !g.shedAt.IsZero() && g.now.Sub(g.shedAt) < shedWindow {
+	load = max(load, g.bodies.load(now, g.queuedBytes(nil)), g.pacer.load(now))
+	if !g.shedAt.IsZero() && now.Sub(g.shedAt) < shedWindow {
 		load += shedLoad
 	}
 	return load
--- a/briarrockd/target/observe_test.go
+++ b/briarrockd/target/observe_test.go
@@ -194,3 +194,27 @@
 	}
 	return StateUp
 }
+
+// TestIdleAgain guards against a target that is passed over for good beside another one on
+// its host, since its load is still that of the moment of its last call.
+func TestIdleAgain(t *testing.T) {
+	for name, tell := range map[string]http.Header{
+		"named a rate": {HeaderRate: {"2"}},
+		"shed a call":  {kind.HeaderRan: {"no"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ts := newBodyHost(&telling{http.StatusServiceUnavailable, tell})
+				defer ts.Close()
+				first := ts.list()[0]
+				send(ts)
+				time.Sleep(2 * shedWindow)
+				ts.Heard(Announcement{Service: "posting", Addr: "10.0.0.7:81", Slots: 4, State: StateUp})
+				second := ts.list()[1]
+				second.step(Arrive{ID: 1, Deadline: time.Now().Add(time.Minute)})
+				c.Check(ts.find("posting"), qt.Equals, first)
+			})
+		})
+	}
+}
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -228,7 +228,7 @@
 			continue
 		}
 		x.mu.Lock()
-		load := x.gate.Load()
+		load := x.gate.Load(time.Now())
 		x.mu.Unlock()
 		if best == nil || load < least {
 			best, least = x, load
@@ -266,7 +266,7 @@
 // returns the load.
 func (x *target) writeState(h http.Header) string {
 	x.mu.Lock()
-	load, usual := x.gate.Load(), x.gate.Usual()
+	load, usual := x.gate.Load(time.Now()), x.gate.Usual()
 	x.mu.Unlock()
 	text := strconv.FormatFloat(load, 'f', 2, 64)
 	h.Set(HeaderLoad, text)
