--- a/briarrockd/caller/state.go
+++ b/briarrockd/caller/state.go
@@ -137,7 +137,7 @@
 // observeNotice remembers what a target has told of itself in place of what the same
 // process told before.
 func (s *state) observeNotice(n target.Notice) {
-	list := make([]target.Notice, 0, maxTold)
+	list := make([]target.Notice, 0, maxTold+1)
 	for _, old := range s.notices {
 		if old.Process != n.Process {
 			list = append(list, old)
@@ -148,10 +148,8 @@
 		}
 		n.Leaving = n.Leaving || old.Leaving
 	}
-	if len(list) == maxTold {
-		list = list[1:]
-	}
-	s.notices = append(list, n)
+	list = append(list, n)
+	s.notices = list[max(0, len(list)-maxTold):]
 }
 
 // observeFeedback takes the figures of an attempt.
--- a/briarrockd/target/observe.go
+++ b/briarrockd/target/observe.go
@@ -87,11 +87,11 @@
 	}
 	x.mu.Unlock()
 	if named.rate != old.rate {
-		t.logRate(x, old, named, source)
+		t.logRateChange(x, old, named, source)
 	}
 }
 
-func (t *Targets) logRate(x *target, old, named namedRate, source string) {
+func (t *Targets) logRateChange(x *target, old, named namedRate, source string) {
 	f := event.Fields{
 		event.Subject: x.addr, "service": x.service, "id": t.lastAnnouncement(x).ID,
 		"from": old.rate.String(), "rate": named.rate.String(), "source": source,
@@ -140,9 +140,9 @@
 	return n
 }
 
-// logRate adds the rate in force to the fields of a call's line, with how many calls it
+// describeRate adds the rate in force to the fields of a call's line, with how many calls it
 // lets start now and how long ago an answer named it.
-func (x *target) logRate(f event.Fields) {
+func (x *target) describeRate(f event.Fields) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if !x.named.rate.bounded {
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -252,7 +252,7 @@
 	f := event.Fields{"trace": c.trace, "service": c.service, "priority": c.priority, "kind": string(r.Kind), "after": r.Wait.Milliseconds()}
 	if x != nil {
 		f["target"], f["load"] = x.addr, x.writeState(w.Header())
-		x.logRate(f)
+		x.describeRate(f)
 	}
 	t.deps.Log.Call(event.RunRefused, f, false)
 	if r.Wait > 0 {
@@ -367,7 +367,7 @@
 	if cause != nil {
 		f["cause"] = cause.Error()
 	}
-	x.logRate(f)
+	x.describeRate(f)
 	t.deps.Log.Call(event.RunEnded, f, plain)
 }
 
