caller: tell why there is no upstream from the choice that found none

Callers saw: "the service has no live target" (empty, come back after 300 ms) from a service whose targets were all up and full, for a few of ten thousand requests in a flood. Cause: the choice and the look for its reason were two, each at its own time under its own lock. What is known of a full upstream holds for 2 to 20 ms, so between the two it could end. Why it works: pick returns the reason from the same view. anyFull and pacedFor are gone; the tests that asked them ask pick, with the same bounds.

--- a/briarrockd/caller/attempts.go
+++ b/briarrockd/caller/attempts.go
@@ -45,8 +45,8 @@
 func (p *Proxy) attemptAll(c *call) attempt {
 	p.deps.Budget.call(c.service.Name)
 	x := &attempts{p: p, c: c, results: make(chan attempt, maxReroutes+c.route.Retries+2)}
-	if !x.start("to") {
-		return p.noUpstream(c)
+	if none, ok := x.start("to"); !ok {
+		return noUpstream(none)
 	}
 	hedge := x.hedgeTimer()
 	defer hedge.Stop()
@@ -73,21 +73,23 @@
 const fullAgain = 40 * time.Millisecond
 
 // noUpstream is the end of a call that has no upstream to go to.
-func (p *Proxy) noUpstream(c *call) attempt {
-	if wait, ok := p.deps.Chooser.pacedFor(time.Now(), c.service.Name, c.set, c.route.Priority); ok {
-		return attempt{kind: kind.Rate, ran: kind.RanNo, after: wait + rand.N(fullAgain+wait)}
+func noUpstream(none refusal) attempt {
+	switch none.kind {
+	case kind.Rate:
+		none.after += rand.N(fullAgain + none.after)
+	case kind.Full:
+		none.after = fullAgain + rand.N(fullAgain)
+	default:
+		none.after = emptyAfter
 	}
-	if p.deps.Chooser.anyFull(time.Now(), c.service.Name, c.set, c.route.Priority) {
-		return attempt{kind: kind.Full, ran: kind.RanNo, after: fullAgain + rand.N(fullAgain)}
-	}
-	return attempt{kind: kind.Empty, ran: kind.RanNo, after: emptyAfter}
+	return attempt{kind: none.kind, ran: kind.RanNo, after: none.after}
 }
 
-// start begins an attempt at another upstream; false if there is none left.
-func (x *attempts) start(what string) bool {
-	u, ok := x.p.deps.Chooser.pick(time.Now(), x.c.service.Name, x.c.set, x.tried, x.c.route.Priority)
+// start begins an attempt at another upstream; false if there is none left, and why.
+func (x *attempts) start(what string) (refusal, bool) {
+	u, none, ok := x.p.deps.Chooser.pick(time.Now(), x.c.service.Name, x.c.set, x.tried, x.c.route.Priority)
 	if !ok {
-		return false
+		return none, false
 	}
 	x.tried = append(x.tried, u.host)
 	x.c.callTrace.step(what, u.host, kind.None)
@@ -101,7 +103,7 @@
 		a.cancel = func() { stop(); cancel() }
 		x.results <- a
 	}()
-	return true
+	return refusal{}, true
 }
 
 // resolve takes the end of an attempt and decides whether it is the call's:
@@ -124,9 +126,11 @@
 	if a.after > 0 && (x.after == 0 || a.after < x.after) {
 		x.after = a.after
 	}
-	if x.shouldRetry(a) && x.start("again") {
-		x.drop(a)
-		return false
+	if x.shouldRetry(a) {
+		if _, ok := x.start("again"); ok {
+			x.drop(a)
+			return false
+		}
 	}
 	if x.inFlight > 0 {
 		x.drop(a)
--- a/briarrockd/caller/choose.go
+++ b/briarrockd/caller/choose.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"briarrock.example/mesh/kind"
 	"briarrock.example/mesh/snapshot"
 )
 
@@ -114,14 +115,16 @@
 	return v
 }
 
-// pick chooses an upstream that is not in tried and counts it as in flight.
-// It returns false when the set has none that may be used.
-func (c *Chooser) pick(now time.Time, service string, set []upstream, tried []string, priority snapshot.Priority) (upstream, bool) {
+// pick chooses an upstream that is not in tried and counts it as in flight. It returns
+// false when the set has none that may be used, and what that is for want of: known a
+// moment later it could be another one.
+func (c *Chooser) pick(now time.Time, service string, set []upstream, tried []string, priority snapshot.Priority) (upstream, refusal, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	best, found := c.best(c.view(now, service, set), tried, priority)
+	v := c.view(now, service, set)
+	best, found := c.best(v, tried, priority)
 	if !found {
-		return upstream{}, false
+		return upstream{}, v.shortage(priority), false
 	}
 	s := c.state(service, best.host)
 	if s.inflight == 0 {
@@ -132,7 +135,7 @@
 	best.notices = s.notices
 	best.far = c.tier(&best) == tierCount-1
 	s.far, s.slots, s.process = best.far, best.slots, best.process
-	return best, true
+	return best, refusal{}, true
 }
 
 // tierCount is the number of distances that are told apart.
@@ -230,6 +233,25 @@
 	return sound
 }
 
+// shortage is why a set has no upstream for a call: their targets' rates are used up, until
+// the first has a turn, or they have no room, or there are none but those that leave.
+func (v *view) shortage(priority snapshot.Priority) refusal {
+	none := refusal{kind: kind.Empty}
+	for i, s := range v.states {
+		if s == nil || s.leaves(v.now, &v.set[i]) || !s.isFull(v.now, priority) {
+			continue
+		}
+		left := s.fullTTL() - v.now.Sub(s.fullAt)
+		switch {
+		case !s.paced:
+			return refusal{kind: kind.Full}
+		case none.kind == kind.Empty || left < none.after:
+			none = refusal{kind.Rate, left}
+		}
+	}
+	return none
+}
+
 // cost is what a request at an upstream is expected to cost, its distance
 // aside, in units of the service's usual time.
 func (v *view) cost(i int, typicalLatency time.Duration) float64 {
@@ -324,34 +346,6 @@
 	return b
 }
 
-// anyFull tells whether an upstream of a set is known to have no room for a
-// call.
-func (c *Chooser) anyFull(now time.Time, service string, set []upstream, priority snapshot.Priority) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.view(now, service, set).any(func(s *state) bool { return s.isFull(now, priority) })
-}
-
-// pacedFor tells how long the first of a set's upstreams has no turn for a call; false
-// unless all that may be used are known to have none for their targets' rates.
-func (c *Chooser) pacedFor(now time.Time, service string, set []upstream, priority snapshot.Priority) (time.Duration, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	wait, found := time.Duration(0), false
-	for i, s := range c.view(now, service, set).states {
-		switch {
-		case s != nil && s.leaves(now, &set[i]):
-		case s == nil || !s.paced || !s.isFull(now, priority):
-			return 0, false
-		default:
-			if left := s.fullTTL() - now.Sub(s.fullAt); !found || left < wait {
-				wait, found = left, true
-			}
-		}
-	}
-	return wait, found
-}
-
 // overloaded tells whether an upstream of a set had no room of late.
 func (c *Chooser) overloaded(now time.Time, service string, set []upstream) bool {
 	c.mu.Lock()
--- a/briarrockd/caller/choose_test.go
+++ b/briarrockd/caller/choose_test.go
@@ -41,7 +41,7 @@
 func count(ch *Chooser, set []upstream, n int, now time.Time, f Feedback) map[string]int {
 	out := make(map[string]int)
 	for range n {
-		u, ok := ch.pick(now, "orderdesk", set, nil, 0)
+		u, _, ok := ch.pick(now, "orderdesk", set, nil, 0)
 		if !ok {
 			out["none"]++
 			continue
@@ -106,7 +106,7 @@
 	}
 	c.Check(ch.Ejected(now), qt.Equals, 1)
 	for range 200 {
-		u, ok := ch.pick(now, "orderdesk", set, nil, 0)
+		u, _, ok := ch.pick(now, "orderdesk", set, nil, 0)
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(u.host, qt.Not(qt.Equals), "northgate-0")
 		ch.done(now, "orderdesk", u.host, Feedback{})
@@ -116,7 +116,7 @@
 			ch.done(now, "orderdesk", u.host, Feedback{Load: -1, Failed: true})
 		}
 	}
-	_, ok := ch.pick(now, "orderdesk", set, nil, 0)
+	_, _, ok := ch.pick(now, "orderdesk", set, nil, 0)
 	c.Check(ok, qt.IsTrue)
 	c.Check(ch.Ejected(now.Add(maxEjection)), qt.Equals, 0)
 }
@@ -130,11 +130,11 @@
 	now := time.Unix(100, 0)
 	ch.done(now, "orderdesk", set[0].host, Feedback{Load: -1, Leaving: true})
 	for range 50 {
-		u, ok := ch.pick(now, "orderdesk", set, nil, 0)
+		u, _, ok := ch.pick(now, "orderdesk", set, nil, 0)
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(u.host, qt.Equals, set[1].host)
 	}
-	_, ok := ch.pick(now, "orderdesk", set, []string{set[1].host}, 0)
+	_, _, ok := ch.pick(now, "orderdesk", set, []string{set[1].host}, 0)
 	c.Check(ok, qt.IsFalse)
 }
 
--- a/briarrockd/caller/fleet_test.go
+++ b/briarrockd/caller/fleet_test.go
@@ -171,7 +171,7 @@
 
 func (c *fleetCall) try() {
 	f := c.f
-	u, ok := c.ch.pick(f.now, fleetService, f.set, c.tried, snapshot.Normal)
+	u, _, ok := c.ch.pick(f.now, fleetService, f.set, c.tried, snapshot.Normal)
 	if f.policy == "oracle" {
 		u, ok = f.best(c.ch, c.tried), true
 	}
--- a/briarrockd/caller/overload_test.go
+++ b/briarrockd/caller/overload_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"briarrock.example/mesh/kind"
 	"briarrock.example/mesh/snapshot"
 )
 
@@ -23,7 +24,7 @@
 	asked, again := 0, time.Second
 	ask := func() {
 		for {
-			u, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
+			u, _, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
 			if !ok {
 				return
 			}
@@ -33,7 +34,9 @@
 	}
 	ask()
 	c.Check(asked, qt.Equals, len(set))
-	c.Check(ch.anyFull(now, "orderdesk", set, snapshot.Normal), qt.IsTrue)
+	_, none, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
+	c.Check(ok, qt.IsFalse)
+	c.Check(none.kind, qt.Equals, kind.Full)
 	now = now.Add(maxFullTTL)
 	asked = 0
 	ask()
@@ -76,15 +79,15 @@
 	ch := NewChooser("northgate", "north-line", 1)
 	now := time.Unix(100, 0)
 	ch.done(now, "orderdesk", set[0].host, Feedback{Load: 1, Full: true, Priority: snapshot.Bulk})
-	_, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Bulk)
+	_, _, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Bulk)
 	c.Check(ok, qt.IsFalse)
-	_, ok = ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
+	_, _, ok = ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
 	c.Check(ok, qt.IsTrue)
 	// The more urgent one is refused too, and after that a lesser one: the
 	// first's word holds on.
 	ch.done(now, "orderdesk", set[0].host, Feedback{Load: 1, Full: true, Priority: snapshot.Normal})
 	ch.done(now, "orderdesk", set[0].host, Feedback{Load: 1, Full: true, Priority: snapshot.Bulk})
-	_, ok = ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
+	_, _, ok = ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
 	c.Check(ok, qt.IsFalse)
 }
 
@@ -110,7 +113,7 @@
 		}
 		fastest := 0
 		for range 200 {
-			u, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
+			u, _, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
 			c.Assert(ok, qt.IsTrue)
 			if u.host == set[0].host {
 				fastest++
@@ -137,14 +140,14 @@
 	now := time.Unix(100, 0)
 	set := table(ms).sets["orderdesk"]
 	for range set {
-		u, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
+		u, _, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
 		c.Assert(ok, qt.IsTrue)
 		ch.done(now, "orderdesk", u.host, Feedback{Load: -1, Leaving: true})
 	}
-	_, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
+	_, _, ok := ch.pick(now, "orderdesk", set, nil, snapshot.Normal)
 	c.Check(ok, qt.IsFalse)
 	ms[5].Incarnation++
-	u, ok := ch.pick(now, "orderdesk", table(ms).sets["orderdesk"], nil, snapshot.Normal)
+	u, _, ok := ch.pick(now, "orderdesk", table(ms).sets["orderdesk"], nil, snapshot.Normal)
 	c.Check(ok, qt.IsTrue)
 	c.Check(u.host, qt.Equals, ms[5].Host)
 }
--- a/briarrockd/caller/paced_test.go
+++ b/briarrockd/caller/paced_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"briarrock.example/briarrockd/target"
+	"briarrock.example/mesh/kind"
 	"briarrock.example/mesh/snapshot"
 )
 
@@ -19,24 +20,20 @@
 	ch := NewChooser("northgate", "north-line", 1)
 	now := time.Unix(100, 0)
 	for i := range set {
-		u, ok := ch.pick(now, service, set, nil, snapshot.Normal)
+		u, _, ok := ch.pick(now, service, set, nil, snapshot.Normal)
 		c.Assert(ok, qt.IsTrue)
-		_, paced := ch.pacedFor(now, service, set, snapshot.Normal)
-		c.Check(paced, qt.IsFalse)
 		again := 300*time.Millisecond + time.Duration(i)*time.Millisecond
 		ch.done(now, service, u.host, Feedback{Load: 1, Full: true, Paced: true, Priority: snapshot.Normal, Again: again})
 	}
-	_, ok := ch.pick(now, service, set, nil, snapshot.Normal)
+	_, none, ok := ch.pick(now, service, set, nil, snapshot.Normal)
 	c.Check(ok, qt.IsFalse)
-	wait, paced := ch.pacedFor(now, service, set, snapshot.Normal)
-	c.Check(paced, qt.IsTrue)
-	c.Check(wait, qt.Equals, 300*time.Millisecond)
-	_, paced = ch.pacedFor(now, service, set, snapshot.Urgent)
-	c.Check(paced, qt.IsFalse, qt.Commentf("more urgent calls may have a turn"))
+	c.Check(none, qt.Equals, refusal{kind.Rate, 300 * time.Millisecond})
+	_, _, ok = ch.pick(now, service, set, nil, snapshot.Urgent)
+	c.Check(ok, qt.IsTrue, qt.Commentf("more urgent calls may have a turn"))
 	c.Check(ch.overloaded(now, service, set), qt.IsFalse)
 	c.Check(ch.Ejected(now), qt.Equals, 0)
-	now = now.Add(wait)
-	_, ok = ch.pick(now, service, set, nil, snapshot.Normal)
+	now = now.Add(none.after)
+	_, _, ok = ch.pick(now, service, set, nil, snapshot.Normal)
 	c.Check(ok, qt.IsTrue)
 }
 
