--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -15,7 +15,7 @@
 // started before its deadline is refused at once: its caller learns it while
 // there is still time to go elsewhere.
 //
-// Gate is a step function without I/O and clock; serve.go is its shell.
+// Gate is a step function without I/O and clock; driver.go runs it.
 type Gate struct {
 	slots    int
 	queueMax int
