target: ignore announcements that don't say when their process began

Cause: an announcement without the time of its process's start counted as another process's, also where the process of that ID has told its own. The platform says that it is always told, and that what comes from another writer, with fields missing, names no target; the others hold. Why it works: such an announcement is taken for late as long as the process that has told its start is heard of; if that falls silent the next one counts as before.

--- a/briarrockd/target/announce.go
+++ b/briarrockd/target/announce.go
@@ -85,9 +85,13 @@
 	if born, ok := t.left[a.ID]; ok && a.ID != "" && a.Born <= born && a.State != StateDraining {
 		return true
 	}
-	if x == nil || a.Born == 0 {
+	if x == nil {
 		return false
 	}
+	if a.Born == 0 {
+		// Another writer's: a process that has said when it began always does.
+		return a.ID != "" && a.ID == x.said.ID && x.said.Born != 0
+	}
 	if a.Born < x.said.Born {
 		x.behind++
 		return x.behind < turnAround || time.Since(x.heardAt) < t.deps.Silent/2
--- a/briarrockd/target/observe_test.go
+++ b/briarrockd/target/observe_test.go
@@ -146,6 +146,28 @@
 	}
 }
 
+// TestRateBesideOtherWriter guards against a rate that is forgotten since an announcement
+// which doesn't say when its process began is taken for another process's.
+func TestRateBesideOtherWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tr := &telling{http.StatusOK, http.Header{HeaderRate: {"1"}}}
+		ts := newBodyHost(tr)
+		defer ts.Close()
+		up := Announcement{Service: "posting", Addr: address, Slots: 1, State: StateUp, ID: "i-1", Born: 7, Seq: 1}
+		ts.Heard(up)
+		time.Sleep(time.Second) // its health check
+		c.Check(kindOf(send(ts)), qt.Equals, kind.None)
+		c.Check(kindOf(send(ts)), qt.Equals, kind.Rate)
+		tr.head = http.Header{} // a health check names none
+		stray := up
+		stray.Born = 0
+		ts.Heard(stray)
+		time.Sleep(100 * time.Millisecond)
+		c.Check(kindOf(send(ts)), qt.Equals, kind.Rate)
+	})
+}
+
 // TestNotices guards against notices that don't arrive as they were sent, and malformed
 // ones that count.
 func TestNotices(t *testing.T) {
