target: let the stand-in of a telling target be changed while its health check runs

The stand-in keeps it behind an atomic pointer now; nothing of the product is concerned, the checks are as before.

--- a/briarrockd/target/observe_test.go
+++ b/briarrockd/target/observe_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,12 +16,18 @@
 // telling is a transport to a target whose answers all have one status and head.
 type telling struct {
 	status int
-	head   http.Header
+	head   atomic.Pointer[http.Header]
+}
+
+func newTelling(status int, head http.Header) *telling {
+	x := &telling{status: status}
+	x.head.Store(&head)
+	return x
 }
 
 // RoundTrip implements http.RoundTripper.
 func (x *telling) RoundTrip(req *http.Request) (*http.Response, error) {
-	return &http.Response{StatusCode: x.status, Header: x.head.Clone(), Body: http.NoBody, Request: req}, nil
+	return &http.Response{StatusCode: x.status, Header: x.head.Load().Clone(), Body: http.NoBody, Request: req}, nil
 }
 
 // send sends a call that bears what its node reports, if anything.
@@ -53,7 +60,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				ts := newBodyHost(&telling{x.status, x.head})
+				ts := newBodyHost(newTelling(x.status, x.head))
 				defer ts.Close()
 				w := send(ts)
 				told := ReadNotices(w.Header(), time.Now())
@@ -74,13 +81,13 @@
 func TestRateInHealthCheck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		tr := &telling{http.StatusOK, http.Header{HeaderRate: {"1"}}}
+		tr := newTelling(http.StatusOK, http.Header{HeaderRate: {"1"}})
 		ts := newBodyHost(tr)
 		defer ts.Close()
 		x := ts.list()[0]
 		c.Check(ts.healthy(x), qt.IsTrue)
 		c.Check(kindOf(send(ts)), qt.Equals, kind.Rate)
-		tr.head = http.Header{}
+		tr.head.Store(&http.Header{})
 		c.Check(ts.healthy(x), qt.IsTrue)
 		c.Check(kindOf(send(ts)), qt.Equals, kind.Rate)
 	})
@@ -92,7 +99,7 @@
 func TestReportedRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		ts := newBodyHost(&telling{http.StatusOK, http.Header{}})
+		ts := newBodyHost(newTelling(http.StatusOK, http.Header{}))
 		defer ts.Close()
 		x := ts.list()[0]
 		c.Check(kindOf(send(ts, Notice{Process: "another/0", Rate: NewRate(1)})), qt.Equals, kind.None)
@@ -123,14 +130,14 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
-			tr := &telling{http.StatusOK, http.Header{}}
+			tr := newTelling(http.StatusOK, http.Header{})
 			ts := newBodyHost(tr)
 			defer ts.Close()
 			ts.Heard(up)
 			time.Sleep(time.Second) // its health check
-			tr.head.Set(HeaderLeaving, x.value)
+			tr.head.Store(&http.Header{HeaderLeaving: {x.value}})
 			x.tell(ts)
-			tr.head.Del(HeaderLeaving)
+			tr.head.Store(&http.Header{})
 			ts.Heard(up)
 			want := kind.None
 			if x.leaves {
@@ -151,7 +158,7 @@
 func TestRateBesideOtherWriter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		tr := &telling{http.StatusOK, http.Header{HeaderRate: {"1"}}}
+		tr := newTelling(http.StatusOK, http.Header{HeaderRate: {"1"}})
 		ts := newBodyHost(tr)
 		defer ts.Close()
 		up := Announcement{Service: "posting", Addr: address, Slots: 1, State: StateUp, ID: "i-1", Born: 7, Seq: 1}
@@ -159,7 +166,7 @@
 		time.Sleep(time.Second) // its health check
 		c.Check(kindOf(send(ts)), qt.Equals, kind.None)
 		c.Check(kindOf(send(ts)), qt.Equals, kind.Rate)
-		tr.head = http.Header{} // a health check names none
+		tr.head.Store(&http.Header{}) // a health check names none
 		stray := up
 		stray.Born = 0
 		ts.Heard(stray)
@@ -196,7 +203,7 @@
 func TestLeavingBesideAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		ts := newBodyHost(&telling{http.StatusOK, http.Header{}})
+		ts := newBodyHost(newTelling(http.StatusOK, http.Header{}))
 		defer ts.Close()
 		other := Announcement{Service: "posting", Addr: "10.0.0.7:81", Slots: 1, State: StateUp}
 		ts.Heard(other)
@@ -227,7 +234,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				ts := newBodyHost(&telling{http.StatusServiceUnavailable, tell})
+				ts := newBodyHost(newTelling(http.StatusServiceUnavailable, tell))
 				defer ts.Close()
 				first := ts.list()[0]
 				send(ts)
