--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -58,6 +58,11 @@
 	// IsRunning reports whether a target of this host is running the call with this trace
 	// ID. It is nil for a node without targets.
 	IsRunning func(trace string) bool
+	// Proven reports whether the version in use is known to have been the newest one
+	// recently enough to serve requests with keys. Nil means always.
+	Proven func() bool
+	// Allowance limits the requests of workspaces. Nil means no limits.
+	Allowance Allowance
 	// Authenticate returns the caller's name by the request's headers; false if the
 	// request is not from a permitted caller.
 	Authenticate func(h http.Header) (string, bool)
@@ -71,6 +76,15 @@
 	Hedge bool
 }
 
+// Allowance limits the requests of workspaces over all nodes.
+type Allowance interface {
+	// Take takes one request from a workspace's allowance. If none is left it returns
+	// false and when to retry.
+	Take(workspace string) (retryAfter time.Duration, ok bool)
+	// Return returns the token of a request that did not run.
+	Return(workspace string)
+}
+
 // Proxy is the http.Handler for callers' requests. New makes one.
 type Proxy struct {
 	deps     Deps
--- a/briarrockd/node/platform.go
+++ b/briarrockd/node/platform.go
@@ -45,6 +45,32 @@
 	// RetryBudget is how many unused retries all nodes together may save up; 0
 	// for the default.
 	RetryBudget float64
+	// Strict is set if no request may run with a key that was taken away Revoke
+	// ago or earlier, also while the node can't reach the platform.
+	Strict bool
+	Revoke time.Duration
+	// Quota bounds how far the requests of a workspace may exceed its allowance.
+	Quota Quota
+	// Rollout bounds what a bad version of a service may get while it is rolled
+	// out.
+	Rollout Rollout
+}
+
+// Quota bounds the requests of a workspace in any Window, over all nodes together,
+// by (rate × Window + burst) × (1 + Overshoot) + Slack.
+type Quota struct {
+	Window    time.Duration
+	Overshoot float64
+	Slack     float64
+}
+
+// Rollout bounds the requests to a bad version of a service over all nodes: at most
+// Share of the service's requests, in addition to Slack requests, and none later than
+// Rollback after its 50th bad response. A Share of 0 means that there are no roll-outs.
+type Rollout struct {
+	Share    float64
+	Slack    int
+	Rollback time.Duration
 }
 
 // Version is one version of the configuration as the platform holds it.
--- a/briarrockd/peer/member.go
+++ b/briarrockd/peer/member.go
@@ -51,6 +51,8 @@
 	Service  string `cbor:"1,keyasint"`
 	Slots    int    `cbor:"2,keyasint"`           // calls that it runs at the same time
 	Draining bool   `cbor:"3,keyasint,omitempty"` // takes no new calls
+	// Version is the version of its software; empty if unknown.
+	Version string `cbor:"4,keyasint,omitempty"`
 }
 
 // Member is the record of a node: its identity, location and targets.
--- a/mesh/snapshot/entry.go
+++ b/mesh/snapshot/entry.go
@@ -49,8 +49,8 @@
 	if len(s.Entries) > MaxEntries {
 		return ErrBounds
 	}
-	if len(s.Entries) != s.Inventory.Entries {
-		return errors.Wrapf(ErrInventory, "%d entries where the inventory lists %d", len(s.Entries), s.Inventory.Entries)
+	if n := len(s.Entries) + len(s.Workspaces); n != s.Inventory.Entries {
+		return errors.Wrapf(ErrInventory, "%d entries and workspaces where the inventory lists %d", n, s.Inventory.Entries)
 	}
 	for i := range s.Entries {
 		if err := s.verifyEntry(&s.Entries[i]); err != nil {
--- a/mesh/snapshot/snapshot.go
+++ b/mesh/snapshot/snapshot.go
@@ -108,6 +108,9 @@
 	// Again allows a Repeatable request to be retried after a 5xx response of
 	// its target. By default such a response is final.
 	Again bool `cbor:"9,keyasint,omitempty"`
+	// Open allows requests without a caller's key. It has no effect in a mesh
+	// without workspaces, where no route needs a key.
+	Open bool `cbor:"10,keyasint,omitempty"`
 }
 
 // QueueBySlots as Service.Queue sets each target's queue length to twice the
@@ -136,7 +139,10 @@
 type Inventory struct {
 	Services []string `cbor:"1,keyasint"`
 	Routes   int      `cbor:"2,keyasint"`
-	Entries  int      `cbor:"3,keyasint,omitempty"`
+	// Entries counts the entries and the workspaces. Builds that know no
+	// workspaces count the entries only, so they reject a snapshot that has
+	// any, and do not serve its routes to callers without a key.
+	Entries int `cbor:"3,keyasint,omitempty"`
 }
 
 // Snapshot is the content of one version of the configuration. Services are
@@ -147,6 +153,9 @@
 	Inventory Inventory `cbor:"3,keyasint"`
 	Entries   []Entry   `cbor:"4,keyasint,omitempty"`
 	Limits    Limits    `cbor:"5,keyasint"`
+	// Workspaces are the workspaces of the mesh. If there are any, only routes
+	// that are Open serve requests without a key.
+	Workspaces []Workspace `cbor:"6,keyasint,omitempty"`
 }
 
 // Service returns the service with the given name by binary search.
@@ -256,6 +265,9 @@
 	if routes != s.Inventory.Routes {
 		return errors.Wrapf(ErrInventory, "%d routes where the inventory lists %d", routes, s.Inventory.Routes)
 	}
+	if err := s.verifyWorkspaces(); err != nil {
+		return err
+	}
 	return s.verifyEntries()
 }
 
--- /dev/null
+++ b/mesh/snapshot/workspace.go
@@ -0,0 +1,67 @@
+package snapshot
+
+import (
+	"github.com/pkg/errors"
+	"github.com/zeebo/blake3"
+)
+
+// MaxWorkspaces and MaxKeys are the maximum numbers of workspaces, and of all
+// their keys, in one mesh.
+const (
+	MaxWorkspaces = 8192
+	MaxKeys       = 32768
+)
+
+// KeyHash is the BLAKE3 hash of a caller's key, truncated to 128 bits. A
+// snapshot holds no key itself.
+type KeyHash [16]byte
+
+// HashKey returns the hash of a caller's key.
+func HashKey(key string) KeyHash {
+	sum := blake3.Sum256([]byte(key))
+	return KeyHash(sum[:len(KeyHash{})])
+}
+
+// Workspace is a tenant of the mesh: the callers that share some keys, a
+// priority and an allowance.
+type Workspace struct {
+	Name string    `cbor:"1,keyasint"`
+	Keys []KeyHash `cbor:"2,keyasint,omitempty"`
+	// Priority, if set, replaces the priority of the routes that the workspace
+	// uses.
+	Priority *Priority `cbor:"3,keyasint,omitempty"`
+	// Rate is the number of requests a second that the workspace may make over
+	// all nodes together, in addition to Burst requests at once. A Rate of 0
+	// sets no limit.
+	Rate  float64 `cbor:"4,keyasint,omitempty"`
+	Burst float64 `cbor:"5,keyasint,omitempty"`
+}
+
+// verifyWorkspaces checks that names and keys are unique and that all limits are
+// in range.
+func (s *Snapshot) verifyWorkspaces() error {
+	if len(s.Workspaces) > MaxWorkspaces {
+		return ErrBounds
+	}
+	names, owners := make(map[string]bool, len(s.Workspaces)), make(map[KeyHash]string)
+	for i := range s.Workspaces {
+		w := &s.Workspaces[i]
+		if w.Name == "" || names[w.Name] {
+			return errors.Wrapf(ErrInventory, "workspace %q has no name or is listed twice", w.Name)
+		}
+		names[w.Name] = true
+		if !(w.Rate >= 0) || !(w.Burst >= 0) {
+			return errors.Wrapf(ErrInventory, "workspace %q has a negative allowance", w.Name)
+		}
+		for _, k := range w.Keys {
+			if owner, ok := owners[k]; ok && owner != w.Name {
+				return errors.Wrapf(ErrInventory, "workspaces %q and %q have the same key", owner, w.Name)
+			}
+			owners[k] = w.Name
+		}
+	}
+	if len(owners) > MaxKeys {
+		return ErrBounds
+	}
+	return nil
+}
