caller: find the workspace of a call by its key

Cause: routes of a configuration with workspaces are served to anybody. Change: the routing table has a map from key hashes to workspaces, which tables of one version share. The entry takes Briarrock-Key and Briarrock-Workspace out of the request's headers before anything else, and refuses a call on a route that is not open with 401, kind workspace. It sets the workspace's priority, asks Deps.Proven for calls with a key, and takes a token of Deps.Allowance after the deadline check, which calls that did not run return once. Where Deps.Proven is false an unknown key is refused as unproven: a newer version may know it. The entry's node alone sets Briarrock-Workspace, and targets get it. Claims of idempotency keys are scoped by workspace; without one their rows are named as before.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -153,6 +153,9 @@
 	if c.caller != "" {
 		h.Set(target.HeaderCaller, c.caller)
 	}
+	if name := c.workspaceName(); name != "" {
+		h.Set(target.HeaderWorkspace, name)
+	}
 	target.WriteNotices(h, time.Now(), u.notices...)
 	return h
 }
--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -155,6 +155,12 @@
 	upstreams []upstream // the service's targets in the table
 	route     snapshot.Route
 	caller    string
+	// workspace is the one that the caller's key belongs to; nil if there is none. keyState
+	// is why the call is refused for its key.
+	workspace *snapshot.Workspace
+	keyState  keyState
+	// hasToken is set while the call has a token of its workspace's allowance.
+	hasToken  bool
 	startedAt time.Time
 	deadline  time.Time
 	// aim is the call's latency objective as a point in time: a response after it has
@@ -197,8 +203,9 @@
 	relay.EnableFullDuplex(w, r)
 	began := time.Now()
 	defer p.duration.UpdateDuration(began)
-	p.waitAtStartup(r)
-	c, ref := p.admit(r, began)
+	key := takeKey(r.Header)
+	p.waitAtStartup(r, key)
+	c, ref := p.admit(r, key, began)
 	if ref.kind != kind.None {
 		p.fail(w, c, ref.kind, kind.RanNo, ref.retryAfter)
 		return
@@ -212,7 +219,7 @@
 
 // waitAtStartup delays a call at a node that has just started until the call can be
 // served, for a limited time.
-func (p *Proxy) waitAtStartup(r *http.Request) {
+func (p *Proxy) waitAtStartup(r *http.Request, key callerKey) {
 	if p.startup.finished() || p.draining.Load() {
 		return
 	}
@@ -222,13 +229,13 @@
 	}
 	p.startup.wait(r.Context(), timeLeft, func() bool {
 		t := p.table.Load()
-		return t != nil && t.canServe(r)
+		return t != nil && (t.canServe(r) || t.refusesKey(r, key))
 	})
 }
 
 // admit finds the route of a request and makes all checks that are possible before
 // anything is sent.
-func (p *Proxy) admit(r *http.Request, now time.Time) (*call, refusal) {
+func (p *Proxy) admit(r *http.Request, key callerKey, now time.Time) (*call, refusal) {
 	c := &call{r: r, trace: traceID(r), startedAt: now, table: p.table.Load()}
 	if p.draining.Load() {
 		return c, refusal{kind: kind.Drain}
@@ -240,6 +247,9 @@
 		return c, refusal{kind: k}
 	}
 	c.upstreams = c.table.upstreams[c.service.Name]
+	if ref := p.identify(c, key); ref.kind != kind.None {
+		return c, ref
+	}
 	p.promoteNested(c)
 	var ok bool
 	c.caller, ok = p.deps.Authenticate(r.Header)
@@ -254,6 +264,9 @@
 		return c, refusal{kind: kind.Drain}
 	}
 	p.setAim(c)
+	if ref := p.takeToken(c); ref.kind != kind.None {
+		return c, ref
+	}
 	if len(c.upstreams) == 0 {
 		return c, refusal{kind: kind.Empty, retryAfter: emptyRetryAfter}
 	}
@@ -398,6 +411,9 @@
 // fail answers a call with a failure that this node reports.
 func (p *Proxy) fail(w http.ResponseWriter, c *call, k kind.Kind, ran kind.Ran, retryAfter time.Duration) {
 	p.deps.Metrics.GetOrCreateCounter(`briarrock_failures_total{kind="` + string(k) + `",ran="` + ran.String() + `"}`).Inc()
+	if ran == kind.RanNo {
+		p.returnToken(c)
+	}
 	if ran == kind.RanNo && c.service != nil {
 		p.counters.refused(c.routeName(), k)
 	}
--- a/briarrockd/caller/once.go
+++ b/briarrockd/caller/once.go
@@ -16,7 +16,12 @@
 		p.fail(w, c, kind.Key, kind.RanNo, 0)
 		return
 	}
-	d := p.deps.Claims.Begin(c.r.Context(), claim.Request{Service: c.service.Name, Key: key, Fingerprint: c.fingerprint})
+	d := p.deps.Claims.Begin(c.r.Context(), claim.Request{
+		Service: c.service.Name, Workspace: c.workspaceName(), Key: key, Fingerprint: c.fingerprint,
+	})
+	if d.Verdict != claim.Run {
+		p.returnToken(c) // whether or not an earlier call with the key ran, this one does not
+	}
 	switch d.Verdict {
 	case claim.Run:
 		c.claim = d.Claim
--- a/briarrockd/caller/table.go
+++ b/briarrockd/caller/table.go
@@ -35,6 +35,8 @@
 	// hosts are the entries by host name, longest path prefix first.
 	hosts  map[string][]*entry
 	limits snapshot.Limits
+	// workspaces are the workspaces by key; nil if the version has none.
+	workspaces map[snapshot.KeyHash]*snapshot.Workspace
 }
 
 // service is one service of a version.
@@ -88,8 +90,9 @@
 func newRouting(version uint64, s *snapshot.Snapshot) *routing {
 	r := &routing{
 		version: version, limits: s.Limits,
-		services: make(map[string]*service, len(s.Services)),
-		hosts:    make(map[string][]*entry),
+		services:   make(map[string]*service, len(s.Services)),
+		hosts:      make(map[string][]*entry),
+		workspaces: workspacesByKey(s),
 	}
 	for i := range s.Services {
 		svc := &s.Services[i]
--- a/briarrockd/caller/trace.go
+++ b/briarrockd/caller/trace.go
@@ -40,6 +40,12 @@
 	if c.entryName != "" {
 		f["entry"] = c.entryName
 	}
+	if name := c.workspaceName(); name != "" {
+		f["workspace"] = name
+	}
+	if c.keyState != keyPresent {
+		f["key"] = string(c.keyState)
+	}
 	if len(c.decisions.list) > 0 {
 		f["way"] = strings.Join(c.decisions.list, ", ")
 	}
--- a/briarrockd/claim/claim.go
+++ b/briarrockd/claim/claim.go
@@ -70,7 +70,10 @@
 // Request identifies a request and its idempotency key.
 type Request struct {
 	Service string
-	Key     string
+	// Workspace is the name of the caller's workspace, empty if it has none. The same key
+	// of another workspace identifies another request.
+	Workspace string
+	Key       string
 	// Fingerprint distinguishes requests: the same key with another fingerprint
 	// is a different request.
 	Fingerprint uint64
@@ -371,7 +374,12 @@
 }
 
 func rowKey(now time.Time, dayOffset int, r Request) string {
-	sum := blake3.Sum256([]byte(r.Service + "\x00" + r.Key))
+	name := r.Service + "\x00" + r.Key
+	if r.Workspace != "" {
+		// The leading zero byte and the length make the name distinct from any other.
+		name = fmt.Sprintf("\x00%d:%s%s", len(r.Workspace), r.Workspace, name)
+	}
+	sum := blake3.Sum256([]byte(name))
 	return fmt.Sprintf("%s%s/%s", Prefix, day(now, dayOffset), hex.EncodeToString(sum[:16]))
 }
 
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -24,6 +24,7 @@
 	HeaderDeadline    = "Briarrock-Deadline" // milliseconds left
 	HeaderAim         = "Briarrock-Aim"      // milliseconds until the call's aim, negative after it
 	HeaderCaller      = "Briarrock-Caller"
+	HeaderWorkspace   = "Briarrock-Workspace" // name of the caller's workspace
 	HeaderPriority    = "Briarrock-Priority"
 	HeaderFingerprint = "Briarrock-Print" // fingerprint of the request
 	HeaderRoute       = "Briarrock-Route" // name of the route
@@ -46,6 +47,7 @@
 type call struct {
 	service     string
 	caller      string
+	workspace   string // empty if the caller has none
 	priority    snapshot.Priority
 	route       string
 	deadline    time.Time
@@ -73,6 +75,7 @@
 		aim:         aim,
 		service:     r.Header.Get(HeaderService),
 		caller:      r.Header.Get(HeaderCaller),
+		workspace:   r.Header.Get(HeaderWorkspace),
 		priority:    min(snapshot.Priority(priority), snapshot.MaxPriority),
 		deadline:    now.Add(time.Duration(ms) * time.Millisecond),
 		route:       r.Header.Get(HeaderRoute),
@@ -178,6 +181,9 @@
 		t.overRate.Inc()
 	}
 	f := event.Fields{"trace": c.trace, "service": c.service, "priority": c.priority, "kind": string(r.Kind), "after": r.RetryAfter.Milliseconds()}
+	if c.workspace != "" {
+		f["workspace"] = c.workspace
+	}
 	if x != nil {
 		f["target"], f["load"] = x.addr, x.writeLoad(w.Header())
 		x.addRateFields(f)
@@ -295,6 +301,9 @@
 	if cause != nil {
 		f["cause"] = cause.Error()
 	}
+	if c.workspace != "" {
+		f["workspace"] = c.workspace
+	}
 	x.addRateFields(f)
 	t.deps.Log.Call(event.RunEnded, f, success)
 }
@@ -331,13 +340,13 @@
 }
 
 // targetHeaders returns the headers that a target may use: the ID of the target that the request is
-// for, the caller, the time left, and the trace ID.
+// for, the caller and its workspace, the time left, and the trace ID.
 func (t *Targets) targetHeaders(r *http.Request, x *target, c call) http.Header {
 	h := make(http.Header, 4)
 	if id := t.lastAnnouncement(x).ID; id != "" {
 		h.Set(HeaderInstance, id)
 	}
-	for _, name := range []string{HeaderTrace, HeaderCaller} {
+	for _, name := range []string{HeaderTrace, HeaderCaller, HeaderWorkspace} {
 		if v := r.Header.Get(name); v != "" {
 			h.Set(name, v)
 		}
--- a/mesh/snapshot/workspace.go
+++ b/mesh/snapshot/workspace.go
@@ -1,6 +1,11 @@
 package snapshot
 
 import (
+	"math"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
 	"github.com/pkg/errors"
 	"github.com/zeebo/blake3"
 )
@@ -12,6 +17,13 @@
 	MaxKeys       = 32768
 )
 
+// MaxKeyBytes is the maximum length of a caller's key, and MaxWorkspaceNameBytes
+// that of a workspace's name.
+const (
+	MaxKeyBytes           = 200
+	MaxWorkspaceNameBytes = 200
+)
+
 // KeyHash is the BLAKE3 hash of a caller's key, truncated to 128 bits. A
 // snapshot holds no key itself.
 type KeyHash [16]byte
@@ -37,6 +49,18 @@
 	Burst float64 `cbor:"5,keyasint,omitempty"`
 }
 
+// isAllowance reports whether x is a finite number that is not negative.
+func isAllowance(x float64) bool { return x >= 0 && !math.IsInf(x, 1) }
+
+// isHeaderText reports whether a header can carry s unchanged: no control
+// characters, no space at either end, and at most MaxWorkspaceNameBytes. The name
+// of a workspace is sent to targets in a header, and a line break in it would add
+// headers of the operator's choice to requests.
+func isHeaderText(s string) bool {
+	return len(s) <= MaxWorkspaceNameBytes && strings.TrimSpace(s) == s && utf8.ValidString(s) &&
+		!strings.ContainsFunc(s, unicode.IsControl)
+}
+
 // verifyWorkspaces checks that names and keys are unique and that all limits are
 // in range.
 func (s *Snapshot) verifyWorkspaces() error {
@@ -50,8 +74,14 @@
 			return errors.Wrapf(ErrInventory, "workspace %q has no name or is listed twice", w.Name)
 		}
 		names[w.Name] = true
-		if !(w.Rate >= 0) || !(w.Burst >= 0) {
-			return errors.Wrapf(ErrInventory, "workspace %q has a negative allowance", w.Name)
+		if !isHeaderText(w.Name) {
+			return errors.Wrapf(ErrInventory, "workspace %q has a name that is too long or can't be sent in a header", w.Name)
+		}
+		if !isAllowance(w.Rate) || !isAllowance(w.Burst) {
+			return errors.Wrapf(ErrInventory, "workspace %q has an allowance that is negative or no number", w.Name)
+		}
+		if w.Priority != nil && *w.Priority > MaxPriority {
+			return errors.Wrapf(ErrInventory, "workspace %q has priority %d, above the highest", w.Name, *w.Priority)
 		}
 		for _, k := range w.Keys {
 			if owner, ok := owners[k]; ok && owner != w.Name {
