--- a/mesh/snapshot/workspace.go
+++ b/mesh/snapshot/workspace.go
@@ -34,6 +34,10 @@
 	return KeyHash(sum[:len(KeyHash{})])
 }
 
+// ValidKey reports whether a caller can send a key: it is not empty, not longer
+// than MaxKeyBytes, and a header can carry it unchanged.
+func ValidKey(key string) bool { return key != "" && len(key) <= MaxKeyBytes && isHeaderText(key) }
+
 // Workspace is a tenant of the mesh: the callers that share some keys, a
 // priority and an allowance.
 type Workspace struct {
@@ -52,13 +56,11 @@
 // isAllowance reports whether x is a finite number that is not negative.
 func isAllowance(x float64) bool { return x >= 0 && !math.IsInf(x, 1) }
 
-// isHeaderText reports whether a header can carry s unchanged: no control
-// characters, no space at either end, and at most MaxWorkspaceNameBytes. The name
-// of a workspace is sent to targets in a header, and a line break in it would add
-// headers of the operator's choice to requests.
+// isHeaderText reports whether a header can carry s unchanged: it has no control
+// characters and no space at either end. The name of a workspace is sent to targets
+// in a header, and a line break in it would add headers to requests.
 func isHeaderText(s string) bool {
-	return len(s) <= MaxWorkspaceNameBytes && strings.TrimSpace(s) == s && utf8.ValidString(s) &&
-		!strings.ContainsFunc(s, unicode.IsControl)
+	return strings.TrimSpace(s) == s && utf8.ValidString(s) && !strings.ContainsFunc(s, unicode.IsControl)
 }
 
 // verifyWorkspaces checks that names and keys are unique and that all limits are
@@ -67,14 +69,21 @@
 	if len(s.Workspaces) > MaxWorkspaces {
 		return ErrBounds
 	}
-	names, owners := make(map[string]bool, len(s.Workspaces)), make(map[KeyHash]string)
+	keys := 0
+	for i := range s.Workspaces {
+		keys += len(s.Workspaces[i].Keys)
+	}
+	if keys > MaxKeys {
+		return ErrBounds
+	}
+	names, owners := make(map[string]bool, len(s.Workspaces)), make(map[KeyHash]string, keys)
 	for i := range s.Workspaces {
 		w := &s.Workspaces[i]
 		if w.Name == "" || names[w.Name] {
 			return errors.Wrapf(ErrInventory, "workspace %q has no name or is listed twice", w.Name)
 		}
 		names[w.Name] = true
-		if !isHeaderText(w.Name) {
+		if len(w.Name) > MaxWorkspaceNameBytes || !isHeaderText(w.Name) {
 			return errors.Wrapf(ErrInventory, "workspace %q has a name that is too long or can't be sent in a header", w.Name)
 		}
 		if !isAllowance(w.Rate) || !isAllowance(w.Burst) {
@@ -90,8 +99,5 @@
 			owners[k] = w.Name
 		}
 	}
-	if len(owners) > MaxKeys {
-		return ErrBounds
-	}
 	return nil
 }
