target: queue calls fairly between workspaces

Cause: the gate knows callers at most, and on the users' platform nobody: one workspace that sends nine times its usual demand takes the shares of all others. Counts of started calls that are cleared with each empty queue don't help, since the queue is short under overload. Change: calls of a workspace are counted for it, also where NoFairQueueing is set. Within a priority the workspace with the fewest started calls goes first; the counts decay within a second. A full queue makes room by the last call of the workspace with most calls, and whether a call may wait depends on the refused calls of its own workspace. Refusals of workspaces are never kind limit, whose status 429 is that of allowances. All calls without a workspace have one place in the order; among each other, and in a gate that has seen no workspace, they are as before. TestGateProperties draws calls of workspaces too. The weights of two moving shares were the same number and are one constant now.

--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -31,6 +31,7 @@
 	// startedByCaller counts the calls that were started for each caller since the queue was
 	// last empty. Callers with few started calls go first.
 	startedByCaller map[string]int
+	shares          shares
 	cmds            []Cmd
 	now             time.Time
 	// shedAt is when the target last refused a call itself.
@@ -54,6 +55,7 @@
 func (g *Gate) Step(now time.Time, m Msg) []Cmd {
 	g.now = now
 	g.cmds = nil
+	g.updateStarted()
 	switch m := m.(type) {
 	case Arrival:
 		g.handleArrival(m)
@@ -155,7 +157,22 @@
 		return wait
 	}
 	left := float64(slack(a.Aim.Sub(g.now), g.limit.durations.ofRoute(a.Route)))
-	return max(wait, time.Duration(float64(g.overload.refusedShare[a.Priority])*left))
+	return max(wait, time.Duration(float64(g.refusedShare(a))*left))
+}
+
+// refusedShare returns the moving share of refused calls among those that compete like a call:
+// the calls of its workspace, or those of its priority if it has none.
+func (g *Gate) refusedShare(a *Arrival) movingShare {
+	if a.Workspace {
+		return g.shares.counts[a.Caller].refused
+	}
+	return g.overload.refusedShare[min(a.Priority, snapshot.MaxPriority)]
+}
+
+// recordDecision records whether a call was refused or admitted on arrival.
+func (g *Gate) recordDecision(a *Arrival, refused bool) {
+	g.overload.recordDecision(a.Priority, refused)
+	g.shares.recordDecision(g.now, a.workspace(), refused)
 }
 
 // MeanDuration returns the mean duration of the target's calls; 0 before the first has ended.
@@ -171,6 +188,9 @@
 
 func (g *Gate) handleArrival(m Arrival) {
 	m.Priority = min(m.Priority, snapshot.MaxPriority)
+	if m.Workspace {
+		g.shares.enable()
+	}
 	if !m.Aim.IsZero() {
 		g.reserve.recordArrival(m.Priority, slack(m.Aim.Sub(g.now), g.limit.durations.ofRoute(m.Route)))
 	}
@@ -189,25 +209,25 @@
 		return
 	case g.canStart(&m):
 		// A slot is free, so calls that are already queued wait for the link and not for a slot.
-		g.overload.recordDecision(m.Priority, false)
-		g.queue = append(g.queue, queuedCall{m, g.now})
+		g.recordDecision(&m, false)
+		g.queue = append(g.queue, g.newQueuedCall(m))
 		return
 	}
 	ok := g.expectedInTime(m)
-	g.overload.recordDecision(m.Priority, !ok)
+	g.recordDecision(&m, !ok)
 	if !ok {
 		g.refuseForCapacity(&m, g.shortageKind())
 		return
 	}
-	if g.exceedsCallerShare(m.Caller) {
+	if !m.Workspace && g.exceedsCallerShare(m.Caller) {
 		g.refuseForCapacity(&m, kind.Limit)
 		return
 	}
-	if len(g.queue) >= g.queueMax && !g.evict(m.Priority) {
+	if len(g.queue) >= g.queueMax && !g.evict(m.Priority) && !g.evictOfWorkspace(&m) {
 		g.refuseForCapacity(&m, g.shortageKind())
 		return
 	}
-	g.queue = append(g.queue, queuedCall{m, g.now})
+	g.queue = append(g.queue, g.newQueuedCall(m))
 }
 
 // canStart reports whether a call can be started now.
@@ -265,7 +285,10 @@
 		g.overload.recordStarted(g.now, w.Priority)
 		g.bodies.start(g.now, &w.Arrival)
 		g.pacer.take(g.now)
-		g.startedByCaller[w.Caller]++
+		if !w.Workspace {
+			g.startedByCaller[w.Caller]++
+		}
+		g.recordStarted(w.workspace())
 		g.cmds = append(g.cmds, Start{w.ID})
 	}
 	if len(g.queue) == 0 && len(g.startedByCaller) > 0 {
--- a/briarrockd/target/gate_test.go
+++ b/briarrockd/target/gate_test.go
@@ -165,10 +165,11 @@
 				next++
 				waiting[next] = true
 				handle(g.Step(now, Arrival{
-					ID:       next,
-					Caller:   rapid.SampledFrom([]string{"a", "b"}).Draw(t, "caller"),
-					Priority: snapshot.Priority(rapid.IntRange(0, 2).Draw(t, "priority")),
-					Deadline: now.Add(time.Duration(rapid.IntRange(-5, 100).Draw(t, "deadline")) * time.Millisecond),
+					ID:        next,
+					Caller:    rapid.SampledFrom([]string{"a", "b"}).Draw(t, "caller"),
+					Workspace: rapid.Bool().Draw(t, "workspace"),
+					Priority:  snapshot.Priority(rapid.IntRange(0, 2).Draw(t, "priority")),
+					Deadline:  now.Add(time.Duration(rapid.IntRange(-5, 100).Draw(t, "deadline")) * time.Millisecond),
 				}))
 			case 3:
 				if id, ok := lowestID(running); ok {
--- a/briarrockd/target/limiter.go
+++ b/briarrockd/target/limiter.go
@@ -27,10 +27,8 @@
 	// lowLoadShare is the share up to which load counts as low: of the limit for call durations,
 	// and of the slots for the shares of shed calls.
 	lowLoadShare = 0.5
-	// shedWeight is the weight of the newest call in the shares of shed calls. Load counts as
-	// the cause of shedding if the share at high load is at least minShedRatio times the share
-	// at low load.
-	shedWeight   = 0.05
+	// minShedRatio is the ratio of the share of calls shed at high load to that at low load from
+	// which on load counts as the cause of shedding.
 	minShedRatio = 2
 	// minShedLowLoad is the share of calls shed at low load below which load always counts as
 	// the cause.
@@ -91,10 +89,10 @@
 // load, load is not the cause, and a lower limit would only cost capacity.
 func (l *limiter) observeShed(shed, lowLoad bool) {
 	if lowLoad {
-		l.shedLowLoad.observe(shed, shedWeight)
+		l.shedLowLoad.observe(shed)
 		return
 	}
-	l.shedHighLoad.observe(shed, shedWeight)
+	l.shedHighLoad.observe(shed)
 }
 
 // decrease lowers the limit by decreaseFactor, but not below floor.
--- a/briarrockd/target/message.go
+++ b/briarrockd/target/message.go
@@ -15,9 +15,11 @@
 
 // Arrival is the arrival of a call to be run.
 type Arrival struct {
-	ID       CallID
-	Caller   string
-	Priority snapshot.Priority
+	ID CallID
+	// Caller is the name of the caller, or that of its workspace if Workspace is set.
+	Caller    string
+	Workspace bool
+	Priority  snapshot.Priority
 	// Route is the name of the call's route, empty if unknown. Calls of one route take about the
 	// same time.
 	Route    string
--- a/briarrockd/target/overload.go
+++ b/briarrockd/target/overload.go
@@ -13,9 +13,9 @@
 	// lowerPriorityWindow is how long after the start of a lower-priority call more such calls
 	// are assumed to follow. Calls of higher priority get the next slots before them.
 	lowerPriorityWindow = 500 * time.Millisecond
-	// refusedWeight is the weight of the newest call in the share of refused calls, which then
-	// covers about the last twenty calls.
-	refusedWeight = 0.05
+	// shareWeight is the weight of the newest call in a movingShare, which then covers about the
+	// last twenty calls.
+	shareWeight = 0.05
 	// maxRefusedShare is the share of refused calls from which on no call queues beyond
 	// minQueueLen.
 	maxRefusedShare = 0.15
@@ -50,7 +50,7 @@
 
 // recordDecision records whether a call was refused or admitted on arrival.
 func (p *overload) recordDecision(priority snapshot.Priority, refused bool) {
-	p.refusedShare[min(priority, snapshot.MaxPriority)].observe(refused, refusedWeight)
+	p.refusedShare[min(priority, snapshot.MaxPriority)].observe(refused)
 }
 
 // recordStarted records the start of a call.
@@ -58,14 +58,15 @@
 	p.startedAt[min(priority, snapshot.MaxPriority)] = now
 }
 
-// maxWaitShare returns the share of its slack that a call may spend in the queue, from 0 to 1.
+// maxWaitShare returns the share of its slack that a call may spend in the queue, from 0 to 1,
+// given the share of refused calls.
 //
 // A queue bridges the moments in which calls arrive faster than slots become free. If they
 // always do, the queue is never empty and every call waits in it without benefit: throughput is
 // the same without a queue. So the larger the share of refused calls, the shorter a call may
 // wait; the others are refused at once.
-func (p *overload) maxWaitShare(priority snapshot.Priority) float64 {
-	return max(0, 1-float64(p.refusedShare[min(priority, snapshot.MaxPriority)])/maxRefusedShare)
+func maxWaitShare(refused movingShare) float64 {
+	return max(0, 1-float64(refused)/maxRefusedShare)
 }
 
 // lowerPriorityStarted reports whether lower-priority calls are still being started. The
@@ -82,11 +83,11 @@
 // movingShare is the exponentially weighted share of events that satisfy a condition.
 type movingShare float64
 
-// observe adds an event with a weight.
-func (s *movingShare) observe(holds bool, weight float64) {
+// observe adds an event.
+func (s *movingShare) observe(holds bool) {
 	x := 0.0
 	if holds {
 		x = 1
 	}
-	*s += movingShare(weight * (x - float64(*s)))
+	*s += movingShare(shareWeight * (x - float64(*s)))
 }
--- a/briarrockd/target/queue.go
+++ b/briarrockd/target/queue.go
@@ -11,6 +11,8 @@
 type queuedCall struct {
 	Arrival
 	queuedAt time.Time
+	// started is the decayed number of started calls of the call's workspace, as of now.
+	started float64
 }
 
 // callerShareDivisor sets the share of a full queue that one caller may take while others are
@@ -28,6 +30,10 @@
 	// minQueueLen is the number of calls that may always queue. With none, a slot that becomes
 	// free stays unused until the next call happens to arrive.
 	minQueueLen = 1
+	// minWorkspaceQueueLen is the number of calls that each workspace may always queue if they
+	// are in time. If the queue as a whole had room for one, the workspace that sends most would
+	// nearly always have it. With three or more, calls are overtaken so often that some are late.
+	minWorkspaceQueueLen = 2
 	// minWorkShare is the share of its route's mean duration that a queued call must have left
 	// until its deadline to be started. With less it would take a slot and be cut off.
 	minWorkShare = 0.5
@@ -50,7 +56,11 @@
 	if ahead < minQueueLen || g.overload.lowerPriorityStarted(g.now, m.Priority) {
 		return !g.now.Add(wait + work).After(m.Deadline)
 	}
-	return wait <= time.Duration(g.overload.maxWaitShare(m.Priority)*float64(slack(m.Aim.Sub(g.now), work)))
+	left := slack(m.Aim.Sub(g.now), work)
+	if m.Workspace && g.queuedOf(&m) < minWorkspaceQueueLen {
+		return wait <= left
+	}
+	return wait <= time.Duration(maxWaitShare(g.refusedShare(&m))*float64(left))
 }
 
 // slack returns how long a call may wait, given the time left until its aim and the mean
@@ -64,12 +74,8 @@
 // expected to queue. It may wait for a slot if none is free, for a token at the target's rate, and
 // for the link if its body has to wait for others.
 func (g *Gate) expectedWait(m Arrival) (ahead int, wait time.Duration) {
-	call := queuedCall{m, g.now}
-	for i := range g.queue {
-		if !g.before(&call, &g.queue[i]) {
-			ahead++
-		}
-	}
+	call := g.newQueuedCall(m)
+	ahead = g.callsAhead(&call)
 	if g.freeSlots(&m) <= 0 {
 		wait = g.slotWait(ahead, m.Priority)
 	}
@@ -100,15 +106,20 @@
 }
 
 // exceedsCallerShare reports whether a caller would crowd out others: the queue is at least half
-// full, other callers are queued, and this caller has its share of the queue.
+// full, other callers are queued, and this caller has its share of the queue. It applies to calls
+// without a workspace, among themselves: for workspaces evictOfWorkspace makes room, since half a
+// queue for one would be far too much among tens of workspaces.
 func (g *Gate) exceedsCallerShare(caller string) bool {
-	own := 0
+	own, others := 0, 0
 	for _, w := range g.queue {
-		if w.Caller == caller {
+		switch {
+		case w.Workspace:
+		case w.Caller == caller:
 			own++
+		default:
+			others++
 		}
 	}
-	others := len(g.queue) - own
 	return others > 0 && len(g.queue)*2 >= g.queueMax && own >= max(1, g.queueMax/callerShareDivisor)
 }
 
@@ -171,12 +182,14 @@
 }
 
 // before reports whether call a goes before call b, which arrived earlier. The higher priority goes
-// first, then the caller with fewer started calls, then the earlier aim if it can still be met.
+// first, then the workspace or caller with fewer started calls, then the earlier aim if it can still be met.
 // Nested calls have the shortest aims, and whole outer calls wait for them.
 func (g *Gate) before(a, b *queuedCall) bool {
 	switch {
 	case a.Priority != b.Priority:
 		return a.Priority > b.Priority
+	case a.Workspace || b.Workspace:
+		return g.workspaceBefore(a, b)
 	case g.startedByCaller[a.Caller] != g.startedByCaller[b.Caller]:
 		return g.startedByCaller[a.Caller] < g.startedByCaller[b.Caller]
 	default:
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -105,11 +105,7 @@
 		return
 	}
 	relay.EnableFullDuplex(w, r)
-	arrival := Arrival{Caller: c.caller, Priority: c.priority, Route: c.route, Deadline: c.deadline, Aim: c.aim, CrossRegion: c.crossRegion, BodyBytes: r.ContentLength}
-	if t.deps.NoFairQueueing {
-		arrival.Caller = ""
-	}
-	id, refuse := x.acquire(r.Context(), arrival)
+	id, refuse := x.acquire(r.Context(), t.arrival(c, r.ContentLength))
 	if refuse.Kind != kind.None {
 		t.refuse(w, c, x, refuse)
 		return
@@ -122,6 +118,20 @@
 	t.forward(w, r, x, id, c)
 }
 
+// arrival returns the message to the gate for a call with a body of the given length. Calls of a
+// workspace are queued fairly between workspaces, also where NoFairQueueing is set: a workspace's
+// name does not depend on the host that the call comes from.
+func (t *Targets) arrival(c call, bodyBytes int64) Arrival {
+	a := Arrival{Caller: c.caller, Priority: c.priority, Route: c.route, Deadline: c.deadline, Aim: c.aim, CrossRegion: c.crossRegion, BodyBytes: bodyBytes}
+	switch {
+	case c.workspace != "":
+		a.Caller, a.Workspace = c.workspace, true
+	case t.deps.NoFairQueueing:
+		a.Caller = ""
+	}
+	return a
+}
+
 // withheldBodyTimeout bounds the time in which a short withheld body has to arrive once it has been
 // requested.
 const withheldBodyTimeout = 500 * time.Millisecond
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -92,7 +92,7 @@
 	Dial relay.DialFunc
 	// NoFairQueueing turns off fair queueing between callers. It is set where a caller's name
 	// only identifies the host that a call comes from, since fairness between hosts would serve
-	// no purpose.
+	// no purpose. Calls of workspaces are queued fairly in any case.
 	NoFairQueueing bool
 	// AnnouncementTimeout is the time without an announcement after which a target is removed; 0
 	// for defaultAnnouncementTimeout.
