--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -120,6 +120,7 @@
 		attempts: d.Metrics.GetOrCreateCounter("briarrock_attempts_total"),
 		duration: d.Metrics.GetOrCreateHistogram("briarrock_call_seconds"),
 	}
+	p.registerWorkspaceGauges()
 	d.Metrics.GetOrCreateGauge("briarrock_ejected", func() float64 {
 		return float64(d.Balancer.Ejected(time.Now()))
 	})
@@ -129,7 +130,8 @@
 // SetTable replaces the routing table. Calls in flight keep the table that they started
 // with.
 func (p *Proxy) SetTable(t *Table) {
-	p.table.Store(t)
+	old := p.table.Swap(t)
+	p.logWorkspaces(old, t)
 	if !p.startup.finished() {
 		p.startup.notify()
 	}
--- a/briarrockd/caller/counts.go
+++ b/briarrockd/caller/counts.go
@@ -65,3 +65,8 @@
 	}
 	c.set.GetOrCreateCounter(`briarrock_returns_total{end="` + end + `"}`).Inc()
 }
+
+// keyRefused counts a call that was refused for its key.
+func (c *routeCounters) keyRefused(reason keyState) {
+	c.set.GetOrCreateCounter(`briarrock_keys_refused_total{reason="` + string(reason) + `"}`).Inc()
+}
--- a/briarrockd/caller/table.go
+++ b/briarrockd/caller/table.go
@@ -35,8 +35,10 @@
 	// hosts are the entries by host name, longest path prefix first.
 	hosts  map[string][]*entry
 	limits snapshot.Limits
-	// workspaces are the workspaces by key; nil if the version has none.
-	workspaces map[snapshot.KeyHash]*snapshot.Workspace
+	// workspaces are the workspaces by key; nil if the version has none. workspaceCount is
+	// their number.
+	workspaces     map[snapshot.KeyHash]*snapshot.Workspace
+	workspaceCount int
 }
 
 // service is one service of a version.
@@ -92,7 +94,7 @@
 		version: version, limits: s.Limits,
 		services:   make(map[string]*service, len(s.Services)),
 		hosts:      make(map[string][]*entry),
-		workspaces: workspacesByKey(s),
+		workspaces: workspacesByKey(s), workspaceCount: len(s.Workspaces),
 	}
 	for i := range s.Services {
 		svc := &s.Services[i]
--- a/briarrockd/caller/workspace.go
+++ b/briarrockd/caller/workspace.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"briarrock.example/briarrockd/target"
+	"briarrock.example/mesh/event"
 	"briarrock.example/mesh/kind"
 	"briarrock.example/mesh/snapshot"
 )
@@ -126,9 +127,57 @@
 // refuseKey records why a call is refused for its key.
 func (p *Proxy) refuseKey(c *call, state keyState, ref refusal) refusal {
 	c.keyState = state
+	p.counters.keyRefused(state)
+	p.deps.Log.Emit(event.KeyRefused, event.Fields{
+		event.Subject: c.routeName(), "service": c.service.Name, "reason": string(state), "version": c.table.version,
+	})
 	return ref
 }
 
+// logWorkspaces logs the workspaces of a new version. Tables that differ only in their
+// targets are not logged.
+func (p *Proxy) logWorkspaces(old, t *Table) {
+	var before map[snapshot.KeyHash]*snapshot.Workspace
+	if old != nil {
+		if old.routing == t.routing {
+			return
+		}
+		before = old.workspaces
+	}
+	if before == nil && t.workspaces == nil {
+		return
+	}
+	p.deps.Log.Emit(event.Workspaces, event.Fields{
+		"version": t.version, "workspaces": t.workspaceCount, "keys": len(t.workspaces),
+		"added": countMissing(t.workspaces, before), "removed": countMissing(before, t.workspaces),
+	})
+}
+
+// countMissing returns how many keys of a are not in b.
+func countMissing(a, b map[snapshot.KeyHash]*snapshot.Workspace) int {
+	n := 0
+	for k := range a {
+		if b[k] == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// registerWorkspaceGauges registers the numbers of workspaces and keys of the table.
+func (p *Proxy) registerWorkspaceGauges() {
+	gauge := func(name string, of func(*Table) int) {
+		p.deps.Metrics.GetOrCreateGauge(name, func() float64 {
+			if t := p.table.Load(); t != nil {
+				return float64(of(t))
+			}
+			return 0
+		})
+	}
+	gauge("briarrock_workspaces", func(t *Table) int { return t.workspaceCount })
+	gauge("briarrock_workspace_keys", func(t *Table) int { return len(t.workspaces) })
+}
+
 // workspaceName returns the name of the call's workspace; empty if it has none.
 func (c *call) workspaceName() string {
 	if c.workspace == nil {
--- a/briarrockd/caller/workspace_test.go
+++ b/briarrockd/caller/workspace_test.go
@@ -239,9 +239,54 @@
 	for _, key := range []string{eastKey, westKey, unknown} {
 		c.Check(out.String(), qt.Not(qt.Contains), key)
 	}
-	for _, field := range []string{`"workspace":"east"`, `"key":"unknown"`, `"key":"malformed"`, `"key":"missing"`} {
+	for _, field := range []string{`"workspace":"east"`, `"key":"unknown"`, `"key":"malformed"`, `"key":"missing"`, `"event":521`} {
 		c.Check(out.String(), qt.Contains, field)
 	}
+	var page bytes.Buffer
+	p.deps.Metrics.WritePrometheus(&page)
+	for _, line := range []string{
+		`briarrock_keys_refused_total{reason="unknown"} 1`, `briarrock_keys_refused_total{reason="malformed"} 1`,
+		`briarrock_keys_refused_total{reason="missing"} 1`, "briarrock_workspaces 3", "briarrock_workspace_keys 3",
+	} {
+		c.Check(page.String(), qt.Contains, line)
+	}
+	c.Check(page.String(), qt.Not(qt.Contains), "-key")
+}
+
+// TestWorkspacesLogged checks that each version with workspaces, and the first one without
+// them, is logged once with the keys that it has added and removed. That leads from a 401 to
+// the version that took the key away.
+func TestWorkspacesLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var out bytes.Buffer
+		p := New(Deps{Balancer: NewBalancer("a", "b", 1), Log: event.New(&out, true, logrus.InfoLevel, "erie-a-1")})
+		s := workspaceSnapshot()
+		changed := workspaceSnapshot()
+		changed.Workspaces[0].Keys = []snapshot.KeyHash{snapshot.HashKey("x"), snapshot.HashKey("y"), snapshot.HashKey(eastKey)}
+		none := workspaceSnapshot()
+		none.Workspaces = nil
+		for _, x := range []struct {
+			table *Table
+			want  string
+		}{
+			{NewTable(1, none, nil), ""},
+			{NewTable(2, s, nil), `"added":3,"event":520,"host":"erie-a-1","keys":3,"level":"info","msg":"workspaces","removed":0`},
+			{NewTable(3, changed, nil), `"added":2,"event":520,"host":"erie-a-1","keys":4,"level":"info","msg":"workspaces","removed":1`},
+			{nil, ""}, // the same version with other members
+			{NewTable(4, none, nil), `"added":0,"event":520,"host":"erie-a-1","keys":0,"level":"info","msg":"workspaces","removed":4`},
+			{NewTable(5, none, nil), ""},
+		} {
+			out.Reset()
+			if x.table == nil {
+				x.table = p.Table().WithMembers(members())
+			}
+			p.SetTable(x.table)
+			c.Check(out.String() == "", qt.Equals, x.want == "")
+			c.Check(out.String(), qt.Contains, x.want)
+			time.Sleep(time.Second) // repeats within a second are not logged
+		}
+	})
 }
 
 // TestUnproven checks which calls a node serves while it can't prove that its version is
@@ -468,3 +513,31 @@
 		}
 	})
 }
+
+// FuzzCallerKey sends arbitrary values of the header with the key: a request gets a workspace
+// only by exactly one value that is one of its keys, and neither the key nor a workspace that
+// it claims stays in its headers.
+func FuzzCallerKey(f *testing.F) {
+	f.Add(eastKey, "", false)
+	f.Add(westKey, westKey, true)
+	f.Add(strings.Repeat("k", snapshot.MaxKeyBytes+1), "\x00", true)
+	f.Add(" "+eastKey, "east-key-1,", false)
+	t := NewTable(1, workspaceSnapshot(), nil)
+	f.Fuzz(func(tt *testing.T, first, second string, both bool) {
+		h := http.Header{HeaderWorkspaceKey: {first}, target.HeaderWorkspace: {second}}
+		if both {
+			h.Add(HeaderWorkspaceKey, second)
+		}
+		w, state := t.workspace(takeKey(h))
+		want := map[string]string{eastKey: "east", eastNewKey: "east", westKey: "west"}[first]
+		if both {
+			want = ""
+		}
+		if got := (&call{workspace: w}).workspaceName(); got != want || (state == keyPresent) != (want != "") {
+			tt.Fatalf("keys %q, %q: workspace %q, want %q", first, second, got, want)
+		}
+		if len(h) > 0 {
+			tt.Fatalf("headers %v", h)
+		}
+	})
+}
--- a/mesh/event/event.go
+++ b/mesh/event/event.go
@@ -79,6 +79,8 @@
 	AnnounceBad      = Event{512, "announcebad", logrus.WarnLevel}
 	TargetRate       = Event{513, "targetrate", logrus.InfoLevel}
 	AnswerBad        = Event{514, "answerbad", logrus.WarnLevel}
+	Workspaces       = Event{520, "workspaces", logrus.InfoLevel}
+	KeyRefused       = Event{521, "keyrefused", logrus.InfoLevel}
 	EditAccepted     = Event{601, "accepted", logrus.InfoLevel}
 	EditConflict     = Event{602, "conflict", logrus.WarnLevel}
 	EditRefused      = Event{603, "invalid", logrus.WarnLevel}
@@ -95,6 +97,7 @@
 		StoreDown, StoreUp, StoreHistoryLost,
 		CallFailed, TargetUp, TargetGone, TargetCrashed, RequestHeld, ClaimLost,
 		CallAnswered, CallGivenUp, RunRefused, RunEnded, TargetState, AnnounceBad, TargetRate, AnswerBad,
+		Workspaces, KeyRefused,
 		EditAccepted, EditConflict, EditRefused, EditUnknown, OperatorRefused,
 	}
 }
