http1: a test that catches the broken safeguard of draining servers each time

Cause: TestPipelinedWhileDraining ended the first request as soon as the second was pending. If the first response was complete before the second request's goroutine reached the check, the connection was closing already and the request was discarded, with the safeguard broken too. Change: the test runs in a synctest bubble on a connection in memory. Before the first request ends, all goroutines of the server are blocked, so that the second request has been handled or waits, and the handler must not have been called for it. The checks of the response and of the closed connection are as before.

--- a/briarrockd/http1/maxconns_test.go
+++ b/briarrockd/http1/maxconns_test.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
-	"time"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -78,36 +78,39 @@
 // closes the connection: it would be lost although it was ready. So the second request
 // is not handled. The first response closes the connection, and the caller sends the
 // second request again on another one.
+//
+// The first request ends only when all goroutines of the server are blocked, so that the
+// second has either been handled or waits for the first.
 func TestPipelinedWhileDraining(t *testing.T) {
-	c := qt.New(t)
-	started, end := make(chan string, 2), make(chan struct{})
-	s, nc := serve(c, http1.ServerConfig{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		started <- r.URL.Path
-		<-end
-	})})
-	send(c, nc, "GET /1 HTTP/1.1\nHost: a\n\n")
-	c.Assert(<-started, qt.Equals, "/1")
-	s.Drain()
-	send(c, nc, "GET /2 HTTP/1.1\nHost: a\n\n")
-	c.Assert(eventually(func() bool { return s.PendingRequests() == 2 }), qt.IsTrue)
-	close(end)
-	br := bufio.NewReader(nc)
-	res, _, err := receive(br)
-	c.Assert(err, qt.IsNil)
-	c.Check(res.Close, qt.IsTrue)
-	_, err = br.ReadByte()
-	c.Check(err, qt.Equals, io.EOF)
-	c.Check(started, qt.HasLen, 0)
-}
-
-// eventually polls a condition until it is true, and returns false after testTimeout.
-func eventually(ok func() bool) bool {
-	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if ok() {
-			return true
-		}
-	}
-	return false
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		started, end := make(chan string, 2), make(chan struct{})
+		s := http1.NewServer(http1.ServerConfig{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			started <- r.URL.Path
+			<-end
+		})})
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		go func() { _ = s.Serve(l) }()
+		defer s.Close()
+		nc, server := net.Pipe()
+		defer func() { _ = nc.Close() }()
+		l.conns <- server
+		send(c, nc, "GET /1 HTTP/1.1\nHost: a\n\n")
+		c.Assert(<-started, qt.Equals, "/1")
+		s.Drain()
+		send(c, nc, "GET /2 HTTP/1.1\nHost: a\n\n")
+		synctest.Wait()
+		c.Check(s.PendingRequests(), qt.Equals, 2)
+		c.Check(started, qt.HasLen, 0, qt.Commentf("the second request was handled before the first response"))
+		close(end)
+		br := bufio.NewReader(nc)
+		res, _, err := receive(br)
+		c.Assert(err, qt.IsNil)
+		c.Check(res.Close, qt.IsTrue)
+		_, err = br.ReadByte()
+		c.Check(err, qt.Equals, io.EOF)
+		c.Check(started, qt.HasLen, 0)
+	})
 }
 
 // TestPipelinedAtShutdown shuts a server down while a response is ready that waits for the
