caller: a killed node of the notice tests does nothing any more, also while frozen

The host's entry node was neither frozen nor killed, so that it kept what it had learned and its attempts went on. Change: a process has its context, its Proxy and its Targets; a freeze ends with the process and holds what it receives and sends, at both ends. A kill breaks what it holds at once. Requests for a node that is down aren't sent, since callers use other nodes; all attempts in the check of attempts are those of living processes. Since the next entry process is another one, its sightings of a leaving target count from its own, as in the soak; those of a rate count on from the first.

--- a/briarrockd/caller/notice_hosts_test.go
+++ b/briarrockd/caller/notice_hosts_test.go
@@ -54,10 +54,10 @@
 	m      *noticeMesh
 	n      int
 	region string
-	proxy  *Proxy
 
 	mu      sync.Mutex
-	targets *target.Targets
+	proxy   *Proxy
+	targets *target.Targets // nil on a host without a target
 	// nodeCtx is cancelled when the node's process is killed. frozenUntil is until when
 	// that process is frozen.
 	nodeCtx     context.Context
@@ -106,16 +106,13 @@
 		member := peer.Member{Host: fmt.Sprint(i), Domain: fmt.Sprint("d", i%noticeDomains), Region: h.region, PeerAddr: fmt.Sprint(i), CallAddr: fmt.Sprint(i) + ":1"}
 		if i < targets {
 			h.app = newNoticeTarget(1)
-			h.startTargets()
 			member.Targets = []peer.Target{{Service: noticeService, Slots: noticeSlots}}
 		}
-		h.proxy = New(Deps{
-			Balancer: NewBalancer(member.Domain, member.Region, uint64(i)), Budget: NewBudget(), Transport: noticeNet{h}, Scheme: "http",
-			CrashCount: func(uint64) int { return 0 }, Authenticate: func(http.Header) (string, bool) { return "front", true },
-			Log: discardLog(), StallTimeout: time.Minute, Hedge: true,
-		})
 		m.hosts, m.members = append(m.hosts, h), append(m.members, member)
 	}
+	for _, h := range m.hosts {
+		h.start()
+	}
 	m.setTables()
 	return m
 }
@@ -124,7 +121,9 @@
 
 func (m *noticeMesh) setTables() {
 	for _, h := range m.hosts {
+		h.mu.Lock()
 		h.proxy.SetTable(NewTable(1, m.snap, m.members))
+		h.mu.Unlock()
 	}
 }
 
@@ -132,14 +131,25 @@
 	return &noticeTarget{startMillis: startMillis, leavingSeenAt: make(map[int]time.Time), rateSeenAt: make(map[int]time.Time)}
 }
 
-// startTargets starts the node's process. It learns of its target by an announcement.
-func (h *noticeHost) startTargets() {
+// start starts the node's process. It learns of its target by an announcement.
+func (h *noticeHost) start() {
 	h.mu.Lock()
-	h.nodeCtx, h.kill = context.WithCancel(context.Background())
+	self := h.m.members[h.n]
+	ctx, kill := context.WithCancel(context.Background())
+	h.nodeCtx, h.kill, h.frozenUntil = ctx, kill, time.Time{}
+	h.proxy = New(Deps{
+		Balancer: NewBalancer(self.Domain, self.Region, uint64(h.n)+1000*self.Incarnation), Budget: NewBudget(), Transport: noticeNet{h, ctx}, Scheme: "http",
+		CrashCount: func(uint64) int { return 0 }, Authenticate: func(http.Header) (string, bool) { return "front", true },
+		Log: discardLog(), StallTimeout: time.Minute, Hedge: true,
+	})
+	if h.app == nil {
+		h.mu.Unlock()
+		return
+	}
 	h.targets = target.New(target.Deps{
 		OnChange: func([]peer.Target) {}, OnCrash: func(peer.Crashed) {}, CrashCount: func(uint64) int { return 0 },
 		Log: discardLog(), StallTimeout: time.Minute, AnnouncementTimeout: time.Hour, NoFairQueueing: true,
-		WrapTransport: func(http.RoundTripper) http.RoundTripper { return noticeTargetConn{h} },
+		WrapTransport: func(http.RoundTripper) http.RoundTripper { return noticeTargetConn{h, ctx} },
 	})
 	h.targets.Configure(h.m.snap)
 	h.mu.Unlock()
@@ -155,17 +165,25 @@
 	ts.HandleAnnouncement(target.Announcement{ID: fmt.Sprint("i-", h.n), Service: noticeService, Addr: "127.0.0.1:1", Slots: noticeSlots, Connections: 500, State: target.StateUp, StartMillis: startMillis, Seq: seq})
 }
 
-// restart kills the node on a target's host and starts it again.
+// restart kills the node on a target's host and starts it again. The next process has not
+// passed on yet that a target is leaving.
 func (h *noticeHost) restart() {
 	h.mu.Lock()
 	h.kill()
 	old := h.targets
 	h.mu.Unlock()
+	for _, x := range h.m.hosts {
+		x.mu.Lock()
+		if x.app != nil {
+			delete(x.app.leavingSeenAt, h.n)
+		}
+		x.mu.Unlock()
+	}
 	h.m.wg.Go(func() {
 		old.Close()
 		time.Sleep(noticeRestart)
-		h.startTargets()
 		h.m.members[h.n].Incarnation++
+		h.start()
 		h.m.setTables()
 	})
 }
@@ -175,18 +193,24 @@
 	m.wg.Wait()
 	time.Sleep(time.Minute) // attempts that are still in flight end by their deadlines
 	for _, h := range m.hosts {
+		h.kill()
 		if h.app != nil {
 			h.targets.Close()
-			h.kill()
 		}
 	}
 }
 
 // noticeNet is a simulated network between nodes, used as the transport of one of them.
-type noticeNet struct{ from *noticeHost }
+type noticeNet struct {
+	from    *noticeHost
+	nodeCtx context.Context // of the process that uses the transport
+}
 
 // RoundTrip implements http.RoundTripper.
 func (n noticeNet) RoundTrip(req *http.Request) (*http.Response, error) {
+	if !n.from.awaitThaw(n.nodeCtx) || req.Context().Err() != nil {
+		return nil, errBroken
+	}
 	i, _ := strconv.Atoi(strings.TrimSuffix(req.URL.Host, ":1"))
 	to := n.from.m.hosts[i]
 	to.m.mu.Lock()
@@ -200,7 +224,7 @@
 		return nil, req.Context().Err()
 	}
 	to.mu.Lock()
-	nodeCtx, ts, frozenFor := to.nodeCtx, to.targets, time.Until(to.frozenUntil)
+	nodeCtx, ts := to.nodeCtx, to.targets
 	to.mu.Unlock()
 	if nodeCtx.Err() != nil {
 		return nil, errRefused
@@ -208,17 +232,16 @@
 	if tr := httptrace.ContextClientTrace(req.Context()); tr != nil {
 		tr.GotConn(httptrace.GotConnInfo{})
 	}
-	if frozenFor > 0 && !sleep(req.Context(), frozenFor) {
-		return nil, req.Context().Err()
-	}
 	ctx, cancel := context.WithCancel(req.Context())
 	defer cancel()
 	defer context.AfterFunc(nodeCtx, cancel)()
 	in := httptest.NewRequest(req.Method, req.URL.Path, req.Body).WithContext(ctx)
 	in.Host, in.Header, in.ContentLength = req.Host, req.Header, req.ContentLength
 	w := httptest.NewRecorder()
-	ts.ServeHTTP(w, in)
-	if nodeCtx.Err() != nil || !sleep(req.Context(), hop) {
+	if to.awaitThaw(ctx) {
+		ts.ServeHTTP(w, in)
+	}
+	if !to.awaitThaw(nodeCtx) || !sleep(req.Context(), hop) || !n.from.awaitThaw(n.nodeCtx) {
 		return nil, errBroken
 	}
 	res := w.Result()
@@ -226,24 +249,51 @@
 	return res, nil
 }
 
+// awaitThaw waits while the node's process is frozen. It returns false if ctx, which is the
+// context of the process or derived from it, has ended.
+func (h *noticeHost) awaitThaw(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		h.mu.Lock()
+		d := time.Until(h.frozenUntil)
+		h.mu.Unlock()
+		if d <= 0 {
+			return true
+		}
+		sleep(ctx, d)
+	}
+	return false
+}
+
 // noticeTargetConn is the transport from a node to its simulated target.
-type noticeTargetConn struct{ h *noticeHost }
+type noticeTargetConn struct {
+	h       *noticeHost
+	nodeCtx context.Context // of the node's process
+}
 
 // RoundTrip implements http.RoundTripper.
 func (x noticeTargetConn) RoundTrip(req *http.Request) (*http.Response, error) {
 	if tr := httptrace.ContextClientTrace(req.Context()); tr != nil {
 		tr.GotConn(httptrace.GotConnInfo{})
 	}
+	if !x.h.awaitThaw(x.nodeCtx) || req.Context().Err() != nil {
+		return nil, errBroken
+	}
 	app := x.h.recordArrival(req.Header.Get(target.HeaderTrace))
 	ok := sleep(req.Context(), time.Duration(float64(noticeWork)*(0.5+x.h.m.float())))
-	x.h.mu.Lock()
-	defer x.h.mu.Unlock()
-	app.running--
-	if !ok {
-		return nil, req.Context().Err()
+	res := x.h.respond(app, req)
+	if !ok || !x.h.awaitThaw(x.nodeCtx) {
+		return nil, errBroken
 	}
+	return res, nil
+}
+
+// respond ends a run of a request at the target and returns its response.
+func (h *noticeHost) respond(app *noticeTarget, req *http.Request) *http.Response {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	app.running--
 	res := newResponse(req, http.StatusOK, kind.RanYes)
-	text := fmt.Sprintf("%d %d %s %v", x.h.n, app.startMillis, app.rate, app.leaving)
+	text := fmt.Sprintf("%d %d %s %v", h.n, app.startMillis, app.rate, app.leaving)
 	res.Body, res.ContentLength = io.NopCloser(strings.NewReader(text)), int64(len(text))
 	if app.rate != "" {
 		res.Header.Set(target.HeaderRate, app.rate)
@@ -251,7 +301,7 @@
 	if app.leaving {
 		res.Header.Set(target.HeaderLeaving, "1")
 	}
-	return res, nil
+	return res
 }
 
 // recordArrival records a request: its entry node and the time when its caller sent it
@@ -278,20 +328,29 @@
 }
 
 // sendRequest sends one request to the node of the host and records what its response
-// reports.
+// reports. Nothing is sent to a node that is down, since its callers use other nodes.
 func (h *noticeHost) sendRequest() {
-	req := httptest.NewRequest(http.MethodGet, "http://told.example/", nil)
+	h.mu.Lock()
+	nodeCtx, proxy := h.nodeCtx, h.proxy
+	h.mu.Unlock()
+	if nodeCtx.Err() != nil {
+		return
+	}
+	req := httptest.NewRequest(http.MethodGet, "http://told.example/", nil).WithContext(nodeCtx)
 	req.Header.Set(target.HeaderTrace, fmt.Sprintf("%d-%d", h.n, time.Now().UnixNano()))
 	req.Header.Set(target.HeaderDeadline, strconv.FormatInt(noticeDeadline.Milliseconds(), 10))
 	w := httptest.NewRecorder()
-	h.proxy.ServeHTTP(w, req)
+	if h.awaitThaw(nodeCtx) {
+		proxy.ServeHTTP(w, req)
+	}
+	answered := h.awaitThaw(nodeCtx) && w.Code == http.StatusOK
 	h.m.mu.Lock()
 	h.m.calls++
-	if w.Code == http.StatusOK {
+	if answered {
 		h.m.answered++
 	}
 	h.m.mu.Unlock()
-	if w.Code == http.StatusOK {
+	if answered {
 		h.recordResponse(strings.Split(w.Body.String(), " "))
 	}
 }
--- a/briarrockd/caller/notice_test.go
+++ b/briarrockd/caller/notice_test.go
@@ -143,7 +143,8 @@
 
 // TestNamedRate guards against a target that gets more requests per second, summed over
 // all nodes, than the rate limit in its responses. The limit must hold also while the
-// target's own node is killed or frozen. It also guards against other targets that stay
+// target's own node is killed, frozen, or killed while it is frozen. It also guards against
+// more attempts per call than noticeMaxAttempts, and against other targets that stay
 // idle meanwhile.
 func TestNamedRate(t *testing.T) {
 	datadriven.RunTest(t, "testdata/rate", func(t *testing.T, d *datadriven.TestData) string {
