peer: each cell of the fault matrix injects a fault, also as a reporting node leaves

Cause: the step "report" of the path "leave" injected nothing. A leaving node has no parent in the tree and sends no report, and no other node's report changes when a leaf leaves: a trace of the path has only beat, readhead, records and summary. Nobody saw it, since a cell whose step doesn't occur passed. Change: a cell in which no fault was injected runs with another seed, and fails after eight. A new path, leave-reporting, has an edit, and the node leaves while its own report of it is under way: records, report and summary are its steps. The path leave keeps records and summary. The full matrix of the other paths was not run.

--- a/briarrockd/peer/matrix_test.go
+++ b/briarrockd/peer/matrix_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"testing"
@@ -127,17 +128,36 @@
 	}
 }
 
+// runCell runs a cell. Some steps occur only if the random choices of the hosts call for
+// them; if no fault was injected, it runs the cell again with another seed.
 func runCell(t *testing.T, c cell) []string {
 	t.Helper()
-	var violations []string
+	const (
+		maxSeeds = 8
+		seedStep = 1_000_000 // above the number of cells
+	)
+	for range maxSeeds {
+		violations, injected := runSeed(t, c)
+		if injected || len(violations) > 0 {
+			return violations
+		}
+		c.seed += seedStep
+	}
+	return []string{"no step of the cell occurred, so that no fault was injected"}
+}
+
+// runSeed runs a cell once. It reports whether a fault was injected.
+func runSeed(t *testing.T, c cell) (violations []string, injected bool) {
+	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		r := newRun(c)
 		violations = r.runPath()
+		injected = slices.Contains(r.pending, "")
 		if r.lostVersions > 0 {
 			t.Logf("%s: a served version was lost with all processes that held it while the store was unreachable", c)
 		}
 	})
-	return violations
+	return violations, injected
 }
 
 // run is the execution of one cell.
@@ -145,19 +165,31 @@
 	*simMesh
 	cell      cell
 	injecting bool
-	edits     int
+	// pending are the steps of the cell that have not occurred; those that have are empty.
+	pending []string
+	// leaveOnReport, if set, is a host that leaves while its next report is under way. The
+	// path begins then. A node that is leaving already has no parent and sends no reports.
+	leaveOnReport *simHost
+	edits         int
 }
 
 func newRun(c cell) *run {
-	r := &run{simMesh: newSimMesh(c.seed, places, perDomain), cell: c}
-	pending := append([]string(nil), c.steps...)
+	r := &run{simMesh: newSimMesh(c.seed, places, perDomain), cell: c, pending: append([]string(nil), c.steps...)}
 	r.onStep = func(word string, h *simHost) {
+		if word == "report" && h == r.leaveOnReport {
+			r.leaveOnReport = nil
+			r.after(0, func() {
+				r.injecting = true
+				r.leave(h)
+				r.onStep(word, h) // the report is still under way
+			})
+		}
 		if !r.injecting {
 			return
 		}
-		for i, step := range pending {
+		for i, step := range r.pending {
 			if step == word {
-				pending[i] = ""
+				r.pending[i] = ""
 				r.inject(c.faults[i], h)
 			}
 		}
@@ -181,7 +213,6 @@
 	r.advance(settleTime)
 	r.editAt(r.nodes[0])
 	r.advance(settleTime)
-	r.injecting = true
 	r.startPath(late)
 	r.advance(faultTime)
 	r.injecting = false
@@ -194,6 +225,7 @@
 
 // startPath starts the path at whose steps the faults are injected.
 func (r *run) startPath(late *simHost) {
+	r.injecting = r.cell.path != "leave-reporting"
 	switch r.cell.path {
 	case "apply", "distribute":
 		r.editAt(r.nodes[1])
@@ -203,12 +235,19 @@
 		r.kill(late)
 		r.after(500*time.Millisecond, func() { r.restart(late) })
 	case "leave":
-		late.leaving = true
-		r.deliver(late, Leave{})
-		r.after(2*time.Second, func() { r.kill(late) })
+		r.leave(late)
+	case "leave-reporting":
+		r.leaveOnReport = late
+		r.editAt(r.nodes[1])
 	}
 }
 
+func (r *run) leave(h *simHost) {
+	h.leaving = true
+	r.deliver(h, Leave{})
+	r.after(2*time.Second, func() { r.kill(h) })
+}
+
 func (r *run) restart(h *simHost) {
 	if !h.alive && !h.leaving {
 		r.start(h)
