--- a/briarrockd/main.go
+++ b/briarrockd/main.go
@@ -92,14 +92,16 @@
 	return exitUsage
 }
 
-// waitForStop reloads the keys on SIGHUP, and returns on SIGTERM or SIGINT.
+// waitForStop reloads the keys on SIGHUP, and returns on SIGTERM or SIGINT. A signal to stop
+// has its own channel, so that it is not lost behind a reload.
 func waitForStop(n *node.Node) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			return
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for range reloads {
+			n.ReloadKeys()
 		}
-		n.ReloadKeys()
-	}
+	}()
+	<-stops
 }
