http1, caller, target: requests end soon after their caller has closed its connection

Cause: the server sees the end of a connection only when it reads from it. It doesn't read while a request's body is unread or waits for 100 Continue, while 16 requests are pending, and behind a request with "Connection: close" or of HTTP/1.0. Such requests stayed queued and reached a target when it had a slot, and work at targets went on. The check of a request that was read late looked only at connections without further bytes. Attempts, starts and pools check the context before they send. A caller that closes only its sending half after a request with "Connection: close" counts as gone, as one without that header did already.

--- a/briarrockd/caller/attempts.go
+++ b/briarrockd/caller/attempts.go
@@ -101,6 +101,9 @@
 	// would be wasted.
 	ctx, cancel := context.WithCancel(context.WithoutCancel(x.c.r.Context()))
 	stop := context.AfterFunc(x.c.r.Context(), cancel)
+	if x.c.r.Context().Err() != nil {
+		cancel() // AfterFunc does it in a goroutine, after which the request may be sent
+	}
 	go func() {
 		a := x.p.sendAttempt(ctx, x.c, u)
 		a.cancel = func() { stop(); cancel() }
--- a/briarrockd/http1/conn.go
+++ b/briarrockd/http1/conn.go
@@ -26,6 +26,8 @@
 	cancel      context.CancelFunc
 	// pipelineSlots limits the pending requests to its capacity.
 	pipelineSlots chan struct{}
+	// closeCheck is the timer of the reading goroutine's checks for the peer's close.
+	closeCheck *time.Timer
 
 	mu sync.Mutex
 	// pending is the number of requests that were read and have not ended.
@@ -91,7 +93,7 @@
 			break
 		}
 	}
-	<-prevDone
+	c.awaitUnread(prevDone, nil)
 	c.closeGracefully()
 }
 
@@ -99,10 +101,7 @@
 // follows it. It returns false if no further request may be read.
 func (c *conn) awaitBodyRead(x *exchange) bool {
 	if x.body != nil {
-		select {
-		case <-x.body.ended:
-		case <-x.done:
-		}
+		c.awaitUnread(x.body.ended, x.done)
 	}
 	if x.req.Close || x.rejectStatus != 0 {
 		return false
@@ -115,9 +114,7 @@
 // readRequest reads the headers of one request. It returns nil if no request can be
 // handled on the connection any more.
 func (c *conn) readRequest(prevDone chan struct{}) *exchange {
-	select {
-	case c.pipelineSlots <- struct{}{}:
-	case <-c.ctx.Done():
+	if !c.awaitSlot() {
 		return nil
 	}
 	limits := c.s.limits()
@@ -143,7 +140,7 @@
 	} else {
 		c.prepare(x, req, limits.BodyBytes)
 	}
-	if err == nil && !req.Close && c.br.Buffered() == 0 && isPeerClosed(c.nc) {
+	if err == nil && isPeerClosed(c.nc) {
 		c.cancel()
 		return nil
 	}
--- a/briarrockd/http1/pool.go
+++ b/briarrockd/http1/pool.go
@@ -56,6 +56,11 @@
 // RoundTrip implements http.RoundTripper. It sends the request on one connection and
 // does not retry.
 func (p *Pool) RoundTrip(req *http.Request) (*http.Response, error) {
+	// A request on an idle connection would be written before the end of its context closes
+	// the connection.
+	if req.Context().Err() != nil {
+		return nil, errors.WithStack(context.Cause(req.Context()))
+	}
 	pr := newPendingRequest(req)
 	pc, err := p.getConn(req.Context(), req.URL.Host, pr)
 	if err != nil {
--- a/briarrockd/target/driver.go
+++ b/briarrockd/target/driver.go
@@ -66,7 +66,11 @@
 		if r, ok := c.(Refuse); ok {
 			return 0, r
 		}
-		return a.ID, Refuse{}
+		if ctx.Err() == nil {
+			return a.ID, Refuse{}
+		}
+		x.step(Completed{ID: a.ID})
+		return 0, Refuse{Kind: kind.Cancel}
 	case <-ctx.Done():
 	}
 	x.mu.Lock()
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -132,7 +132,7 @@
 	}
 	// If the caller's node has been cut off meanwhile, it must not keep the slot.
 	b, err := relay.ReadBody(r, min(withheldBodyTimeout, time.Until(c.deadline)))
-	if err != nil {
+	if err != nil || r.Context().Err() != nil {
 		x.step(Completed{ID: id, Route: c.route})
 		t.refuse(w, c, x, Refuse{Kind: kind.Cancel})
 		return false
