proof, peer, node, platform: proofs that a version was the newest one

Cause: a host that is partitioned, frozen or suspended would serve keys that have been taken away, since nothing tells it how old its knowledge is. Change: package proof keeps the newest proof of the version in use: from the node's own reads of the store, as of the time before the request was sent, and from peers, in frames whose transit time is bounded by an echo of the receiver's clock. All ages are measured by CLOCK_BOOTTIME. Strict nodes exchange the frames while their version has workspaces, poll for at most revoke/5 at a time, and poll as a fallback if the newest proof is older than 0.6 × revoke. caller.Deps.Proven is set on strict nodes; nothing calls it yet.

--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -54,6 +54,9 @@
 	Dial relay.DialFunc
 	// OnVersion, if set, is called with each version that comes into use.
 	OnVersion func(version uint64)
+	// BootTime, if set, is used instead of the host's clock of the time since its boot,
+	// which also advances while the host is suspended.
+	BootTime func() time.Duration
 }
 
 // Node is one running node. New makes one.
@@ -74,6 +77,7 @@
 	budget    *caller.Budget
 	platform  Platform
 	watch     *WatchHandle
+	prover    *prover
 	wg        sync.WaitGroup
 
 	// mu guards the inputs of the next table and the crash counts by a request's
@@ -114,6 +118,7 @@
 	n.onVersion = d.OnVersion
 	if d.Platform != nil {
 		n.platform = *d.Platform
+		n.platform.Revoke = cmp.Or(n.platform.Revoke, defaultRevoke)
 	}
 	n.start(store, d)
 	n.log.Emit(event.Started, event.Fields{"domain": cfg.Domain, "region": cfg.Region, "caller": cfg.CallerAddr, "plain": cfg.Security.Plain})
@@ -182,18 +187,19 @@
 	n.claims = claim.New(claim.Deps{Store: store, Log: n.log, Host: n.cfg.Host, Metrics: n.metrics, Forward: n.forwardClaims})
 	n.transport = n.newTransport(d.HTTP1, d.Dial)
 	n.budget = caller.NewBudget()
+	n.prover = newProver(n.platform.Revoke, d.BootTime, n.Version)
 	n.proxy = caller.New(caller.Deps{
 		Balancer: caller.NewBalancer(n.cfg.Domain, n.cfg.Region, rand.Uint64()),
 		Budget:   n.budget, Claims: n.claims,
 		Transport: n.transport, Scheme: n.scheme(), CrashCount: n.crashCount, IsRunning: n.targets.IsRunning,
 		Authenticate: n.callerIdentifier(), Log: n.log, Metrics: n.metrics, StallTimeout: n.cfg.StallTimeout,
-		Hedge: d.Platform != nil,
+		Hedge: d.Platform != nil, Proven: n.proven(),
 	})
-	n.watch = newWatchHandle(n.sendToCore, n.log)
+	n.watch = newWatchHandle(n.sendToCore, n.prover.bootTime, n.log)
 	n.peers = peer.NewTransport(n.peerConfig(), peer.Deps{
 		Store: store, Log: n.log, Metrics: n.metrics, Credentials: n.peerKeys(), Listener: n.listeners[peerListener], Seed: rand.Uint64(),
-		Dial: d.Dial, CommitClaims: n.claims.CommitForwarded,
-		Hooks: peer.Hooks{ServeVersion: n.useVersion, PublishMembers: n.useMembers, HeldRequest: n.setCrashCount, Watch: n.watch.setTurn},
+		Dial: d.Dial, CommitClaims: n.claims.CommitForwarded, BootTime: n.coreBootTime(),
+		Hooks: peer.Hooks{ServeVersion: n.useVersion, PublishMembers: n.useMembers, HeldRequest: n.setCrashCount, Watch: n.watch.setTurn, PublishProof: n.prover.publish},
 	})
 	n.operators = operator.New(operator.Deps{
 		Host: n.cfg.Host, Store: store, Peers: n.peers, Log: n.log, Metrics: n.metrics,
@@ -269,6 +275,8 @@
 		ExpectedHosts:   n.cfg.ExpectedHosts,
 		DelegatePolling: n.platform.Watch != nil,
 		Bootstrap:       n.platform.Bootstrap,
+		Strict:          n.platform.Strict,
+		Revoke:          n.platform.Revoke,
 	}
 }
 
--- a/briarrockd/node/platform.go
+++ b/briarrockd/node/platform.go
@@ -81,6 +81,9 @@
 	// is the newest version. ReadAt is the time of the read.
 	LogPosition uint64
 	ReadAt      time.Time
+	// Sent is the reading of WatchHandle.BootTime before the read was sent; 0 if the
+	// read has found a newer version too.
+	Sent time.Duration
 }
 
 // limits returns the limits for callers in the version in use.
@@ -98,16 +101,17 @@
 // WatchHandle connects Platform.Watch with the node: the watch gets its turns from
 // it and reports results through it.
 type WatchHandle struct {
-	send func(peer.Msg)
-	log  *event.Log
+	send     func(peer.Msg)
+	bootTime func() time.Duration
+	log      *event.Log
 
 	mu      sync.Mutex
 	turn    peer.Watch
 	changed chan struct{} // closed when turn changes
 }
 
-func newWatchHandle(send func(peer.Msg), log *event.Log) *WatchHandle {
-	return &WatchHandle{send: send, log: log, changed: make(chan struct{})}
+func newWatchHandle(send func(peer.Msg), bootTime func() time.Duration, log *event.Log) *WatchHandle {
+	return &WatchHandle{send: send, bootTime: bootTime, log: log, changed: make(chan struct{})}
 }
 
 // setTurn sets whether and how this node polls the platform, as the Core decided.
@@ -147,9 +151,13 @@
 		h.log.Emit(event.VersionRefused, event.Fields{event.Subject: "platform", "version": v.Number, "error": err.Error()})
 		return
 	}
-	h.send(peer.Committed{Version: v.Number, Hash: snapshot.Sum(b), Content: b, Cursor: v.LogPosition, At: v.ReadAt})
+	h.send(peer.Committed{Version: v.Number, Hash: snapshot.Sum(b), Content: b, Cursor: v.LogPosition, At: v.ReadAt, Sent: v.Sent})
 }
 
+// BootTime reads the clock that Version.Sent and peer.Polled.Sent refer to. It also
+// advances while the host is suspended.
+func (h *WatchHandle) BootTime() time.Duration { return h.bootTime() }
+
 // ReportFailure reports a poll that got no answer.
 func (h *WatchHandle) ReportFailure() { h.send(peer.PollFailed{}) }
 
--- a/briarrockd/peer/floor.go
+++ b/briarrockd/peer/floor.go
@@ -102,6 +102,7 @@
 	}
 	c.emit(ServeVersion{v.number, v.hash, v.staged})
 	c.log(event.VersionInUse, event.Fields{event.Subject: v.hash.Short(), "version": v.number})
+	c.useProofs(v.number, v.staged)
 	v.staged = nil
 }
 
--- a/briarrockd/peer/frame.go
+++ b/briarrockd/peer/frame.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"briarrock.example/briarrockd/proof"
 	"briarrock.example/mesh/codec"
 	"briarrock.example/mesh/snapshot"
 )
@@ -42,6 +43,9 @@
 	RemoteFloor uint64 `cbor:"10,keyasint,omitempty"`
 	// Members is the number of live members known to the sender, itself included.
 	Members int `cbor:"11,keyasint,omitempty"`
+	// Proofs is set if the sender takes Proof frames. Other nodes close the link on
+	// one, since they can't decode it.
+	Proofs bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Heartbeat is sent periodically over each link. It carries just enough for the
@@ -186,6 +190,10 @@
 	ID uint64 `cbor:"5,keyasint"`
 }
 
+// Proof states that no version newer than its own had been accepted at some time, with
+// what bounds the time for which the frame is under way.
+type Proof proof.Frame
+
 // The type codes on the wire. A code is never reused for another frame.
 const (
 	codeHello byte = iota + 1
@@ -205,6 +213,9 @@
 	codePollNotice
 )
 
+// codeProof is the code of Proof.
+const codeProof byte = 19
+
 func (Hello) code() byte         { return codeHello }
 func (Heartbeat) code() byte     { return codeHeartbeat }
 func (Digests) code() byte       { return codeDigests }
@@ -220,6 +231,7 @@
 func (FloorNotice) code() byte   { return codeFloorNotice }
 func (VersionAck) code() byte    { return codeVersionAck }
 func (PollNotice) code() byte    { return codePollNotice }
+func (Proof) code() byte         { return codeProof }
 
 // Bounds of the lists in frames, in elements, and of an encoded frame.
 const (
@@ -281,6 +293,8 @@
 		return decode(b[1:], func(VersionAck) bool { return true })
 	case codePollNotice:
 		return decode(b[1:], func(f PollNotice) bool { return f.Host != "" && len(f.Host) <= maxNameSize })
+	case codeProof:
+		return decode(b[1:], func(Proof) bool { return true })
 	case codeFloorNotice:
 		return decode(b[1:], func(FloorNotice) bool { return true })
 	default:
--- a/briarrockd/peer/message.go
+++ b/briarrockd/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"briarrock.example/briarrockd/proof"
 	"briarrock.example/mesh/event"
 	"briarrock.example/mesh/snapshot"
 )
@@ -80,6 +81,8 @@
 	// this node committed it.
 	Cursor uint64
 	At     time.Time
+	// Sent is as in Polled, if no newer version was found.
+	Sent time.Duration
 }
 
 // Polled reports that a poll by this node found nothing newer than what it has already
@@ -93,6 +96,8 @@
 	// RTT is the round-trip time to the platform; 0 if it could not be separated from
 	// the time spent waiting for a change.
 	RTT time.Duration
+	// Sent is the reading of the boot clock before the poll was sent; 0 if unknown.
+	Sent time.Duration
 }
 
 // Crashed reports that a request was in flight when a target of this node crashed. With
@@ -183,6 +188,9 @@
 // afterwards.
 type PublishMembers struct{ Members []Member }
 
+// PublishProof publishes a newer proof of the version in use; see package proof.
+type PublishProof struct{ Proof proof.Proof }
+
 // HeldRequest is a request that was in flight when targets crashed, identified by its
 // fingerprint. Requests with this fingerprint are held back once Crashes has reached
 // HoldThreshold. Crashes is 0 if the request is no longer suspected.
@@ -209,5 +217,6 @@
 func (WriteContacts) cmd()  {}
 func (ServeVersion) cmd()   {}
 func (PublishMembers) cmd() {}
+func (PublishProof) cmd()   {}
 func (HeldRequest) cmd()    {}
 func (Log) cmd()            {}
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -51,6 +51,7 @@
 	"math/rand/v2"
 	"time"
 
+	"briarrock.example/briarrockd/proof"
 	"briarrock.example/mesh/event"
 	"briarrock.example/mesh/snapshot"
 )
@@ -101,6 +102,10 @@
 	// decides whether this node polls (Watch), receives the results (Committed, Polled)
 	// and does not read the head or the object store itself.
 	DelegatePolling bool
+	// Strict is set if this node serves requests with keys only while it can prove that
+	// its version was the newest one at most Revoke ago.
+	Strict bool
+	Revoke time.Duration
 }
 
 // Core holds the state of one node's gossip protocol and makes its decisions. Use New
@@ -130,6 +135,7 @@
 	contacts contactRows
 	reports  reports
 	crashes  crashTable
+	proofs   proofs
 }
 
 // link is one open link.
@@ -157,6 +163,9 @@
 	// introductionUntil is the time until which the link is used only to introduce a
 	// starting node to its own domain.
 	introductionUntil time.Time
+	// takesProofs is set if the peer takes Proof frames; proof is their state.
+	takesProofs bool
+	proof       proof.Link
 	// unwantedSince is when the link ceased to be one that this node should have; zero
 	// if it should have it.
 	unwantedSince time.Time
@@ -253,6 +262,7 @@
 	c.tickWatch()
 	c.updatePollRole()
 	c.tickContacts()
+	c.tickProofs()
 	c.tickReport()
 	c.tickCrashes()
 	if c.membersChanged {
@@ -308,6 +318,8 @@
 		c.raiseRemoteFloor(l.id, f.Version)
 	case PollNotice:
 		c.onPollNotice(l, f)
+	case Proof:
+		c.onProof(l, f)
 	default:
 		// A second Hello on an open link violates the protocol.
 		c.log(event.PeerGarbage, event.Fields{event.Subject: l.host})
@@ -324,6 +336,7 @@
 		Cursor:      c.watch.cursor,
 		RemoteFloor: c.version.remoteFloor,
 		Members:     c.Members(),
+		Proofs:      c.cfg.Strict,
 	}
 	if l != nil {
 		hello.Lazy = l.lazy
--- a/briarrockd/peer/transport.go
+++ b/briarrockd/peer/transport.go
@@ -54,6 +54,8 @@
 	ServeVersion   func(ServeVersion)
 	PublishMembers func(PublishMembers)
 	HeldRequest    func(HeldRequest)
+	// PublishProof may be nil if the node is not strict.
+	PublishProof func(PublishProof)
 	// Watch may be nil if the Core reads the head itself, without DelegatePolling.
 	Watch func(Watch)
 }
@@ -82,6 +84,7 @@
 	commitClaims func(ctx context.Context, batch []byte) ([]byte, error)
 	claimsConn   claimsConn
 	traffic      *traffic
+	bootTime     func() time.Duration
 	dialTCP      func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
@@ -109,6 +112,9 @@
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// CommitClaims commits claims that other nodes of the domain have forwarded.
 	CommitClaims func(ctx context.Context, batch []byte) ([]byte, error)
+	// BootTime reads a clock that also advances while the host is suspended. It is
+	// required by a strict node.
+	BootTime func() time.Duration
 }
 
 // NewTransport starts a Core and its Transport. Close stops both.
@@ -125,6 +131,7 @@
 		creds:        d.Credentials,
 		domain:       cfg.Self.Domain,
 		commitClaims: d.CommitClaims,
+		bootTime:     d.BootTime,
 		inbox:        make(chan Msg, inboxSize),
 		coreCalls:    make(chan func(*Core)),
 		ctx:          ctx,
@@ -193,6 +200,9 @@
 }
 
 func (t *Transport) step(m Msg) {
+	if t.bootTime != nil {
+		t.core.SetBootTime(t.bootTime())
+	}
 	for _, c := range t.core.Step(time.Now(), m) {
 		t.execute(c)
 	}
@@ -222,6 +232,8 @@
 		t.hooks.PublishMembers(c)
 	case HeldRequest:
 		t.hooks.HeldRequest(c)
+	case PublishProof:
+		t.hooks.PublishProof(c)
 	case Watch:
 		t.hooks.Watch(c)
 	case Log:
--- a/briarrockd/peer/version.go
+++ b/briarrockd/peer/version.go
@@ -354,6 +354,7 @@
 		at = c.now
 	}
 	c.watch.cursor = max(c.watch.cursor, m.Cursor)
+	c.addOwnProof(m.Version, m.Sent)
 	c.recordHeadRead(m.Version, at)
 	if m.Cursor > 0 {
 		c.broadcastPoll(at)
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -52,7 +52,9 @@
 	nextRead time.Time // earliest time of the next read by this node
 	reading  bool      // a ReadHead has not been answered yet
 	lastRead time.Time // when this node last sent a ReadHead
-	failures int       // consecutive failed reads or polls by this node
+	// readSent is the reading of the boot clock at lastRead.
+	readSent time.Duration
+	failures int // consecutive failed reads or polls by this node
 }
 
 func newWatch(now time.Time, firstDelay time.Duration) headWatch {
@@ -166,7 +168,7 @@
 		return
 	}
 	w.reading = true
-	w.lastRead = c.now
+	w.lastRead, w.readSent = c.now, c.proofs.clock
 	c.emit(ReadHead{})
 }
 
@@ -195,6 +197,7 @@
 		w.nextRead = c.now.Add(c.jitter(otherReadJitter))
 	}
 	c.version.dropAboveHead(m.Version)
+	c.addOwnProof(m.Version, w.readSent)
 	if m.Version > c.version.number {
 		w.pendingPoll = poll{version: m.Version, at: w.lastRead, own: true}
 		c.fetchHead(m.Version, m.Hash)
--- a/briarrockd/peer/watchrole.go
+++ b/briarrockd/peer/watchrole.go
@@ -167,16 +167,16 @@
 	case !c.version.ready:
 		w.On = c.pollsAtStart()
 	case c.allMembersPoll():
-		w.Wait = longPollWait
+		w.Wait = c.pollWait(longPollWait)
 	case c.pollsForRegion():
-		w.Wait = shortPollWait
+		w.Wait = c.pollWait(shortPollWait)
 	default:
 		w.Fallback = true
 		w.On = c.pollNoticesLapsed()
 		if c.now.Sub(c.watch.role.ownPollAt) <= maxNoticedPollAge {
 			// Only later polls wait for a change. The first one is answered at once,
 			// so that its notice soon keeps other nodes from polling.
-			w.Wait = shortPollWait
+			w.Wait = c.pollWait(shortPollWait)
 		}
 	}
 	return w
@@ -212,7 +212,7 @@
 	n := len(c.table.members(c.self.Domain))
 	spread := pollNoticeTimeoutSpread * time.Duration(max(c.orderIndex(), 0)) / time.Duration(n+1)
 	// A version that has arrived also shows that some node polls.
-	timedOut := c.now.Sub(laterOf(r.noticedAt, c.version.stagedAt)) > pollNoticeTimeout+spread
+	timedOut := c.now.Sub(laterOf(r.noticedAt, c.version.stagedAt)) > pollNoticeTimeout+spread || c.proofOverdue(spread)
 	if timedOut && c.now.Sub(r.attemptAt) > r.attemptPause {
 		r.pollUntil = c.now.Add(minFallbackPolling)
 	}
@@ -244,6 +244,7 @@
 func (c *Core) onPolled(m Polled) {
 	c.watch.cursor = max(c.watch.cursor, m.Cursor)
 	c.watch.role.updateRTT(m.RTT)
+	c.addOwnProof(c.version.number, m.Sent)
 	c.recordHeadRead(c.version.number, m.At)
 	c.broadcastPoll(m.At)
 }
--- a/mesh/event/event.go
+++ b/mesh/event/event.go
@@ -54,6 +54,10 @@
 	VersionOld       = Event{203, "old", logrus.WarnLevel}
 	VersionNotFound  = Event{204, "notfound", logrus.WarnLevel}
 	WatchAssigned    = Event{205, "watch", logrus.InfoLevel}
+	Unproven         = Event{210, "unproven", logrus.WarnLevel}
+	Proven           = Event{211, "proven", logrus.InfoLevel}
+	ProofRefused     = Event{212, "proofrefused", logrus.WarnLevel}
+	Suspended        = Event{213, "suspended", logrus.WarnLevel}
 	LinkUp           = Event{301, "linkup", logrus.DebugLevel}
 	LinkDown         = Event{302, "linkdown", logrus.DebugLevel}
 	PeerRefused      = Event{303, "peerrefused", logrus.WarnLevel}
@@ -91,6 +95,7 @@
 	return []Event{
 		Started, Stopping, Stopped, KeysLoaded, KeysBad, Library, LogDropped, Reloaded, Panicked,
 		VersionInUse, VersionRefused, VersionOld, VersionNotFound, WatchAssigned,
+		Unproven, Proven, ProofRefused, Suspended,
 		LinkUp, LinkDown, PeerRefused, PeerGarbage, MemberSuspect, MemberDead, MemberLeft, DomainStale,
 		StoreDown, StoreUp, StoreHistoryLost,
 		CallFailed, TargetUp, TargetGone, TargetCrashed, RequestHeld, ClaimLost,
