--- a/briarrockd/peer/polls_test.go
+++ b/briarrockd/peer/polls_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/datadriven"
 	qt "github.com/frankban/quicktest"
+
+	"briarrock.example/mesh/snapshot"
 )
 
 // maxNoticesPerSecond bounds the poll notices that the gateway nodes of two regions
@@ -30,6 +32,12 @@
 	polls int
 	// notices counts the poll notices that were sent over links.
 	notices int
+	// encode returns the content of a version.
+	encode func(c *qt.C, n int) ([]byte, snapshot.Hash)
+	// earlyLook makes the store look for a version long before it answers.
+	earlyLook bool
+	// failAfter is the time until a poll fails.
+	failAfter time.Duration
 }
 
 // poller is the poll loop of a host's current process.
@@ -45,7 +53,11 @@
 	for _, p := range places {
 		eight = append(eight, p, Member{Domain: p.Domain + "x", Region: p.Region})
 	}
-	f := &pollMesh{simMesh: newSimMesh(seed, eight, perDomain), c: c, hosts: make(map[*simHost]*poller)}
+	return newPollMeshAt(c, seed, eight, perDomain)
+}
+
+func newPollMeshAt(c *qt.C, seed uint64, places []Member, perDomain int) *pollMesh {
+	f := &pollMesh{simMesh: newSimMesh(seed, places, perDomain), c: c, hosts: make(map[*simHost]*poller), encode: encodeSample, failAfter: failedPollTime}
 	f.onWatch = f.setWatch
 	f.onStep = func(word string, _ *simHost) {
 		if word == "fresh" {
@@ -78,27 +90,37 @@
 	p.polling = true
 	f.polls++
 	if !f.storeReachable(x) {
-		f.after(failedPollTime, func() {
+		f.after(f.failAfter, func() {
 			f.deliverTo(x, p, PollFailed{})
 			f.after(pollRetryDelay, func() { f.pollNext(x, p) })
 		})
 		return
 	}
+	sent := x.bootTime()
 	delay := f.storeDelay(x)
-	if f.newest() > p.delivered {
-		f.after(delay, func() { f.deliverNewest(x, p) })
+	if n := f.newest(); n > p.delivered {
+		f.after(delay, func() { f.deliverVersion(x, p, n, sent) })
 		return
 	}
 	wait := p.watch.Wait
+	looked := uint64(0)
+	if f.earlyLook {
+		f.after(time.Duration(f.rng.Int64N(int64(delay+wait))), func() { looked = f.newest() })
+	}
 	f.after(delay+wait, func() {
+		if !f.earlyLook {
+			looked = f.newest()
+		}
 		switch {
 		case !f.storeReachable(x):
-			f.deliverTo(x, p, PollFailed{})
-			f.pollNext(x, p)
-		case f.newest() > p.delivered:
-			f.deliverNewest(x, p)
+			f.after(f.failAfter-failedPollTime, func() {
+				f.deliverTo(x, p, PollFailed{})
+				f.pollNext(x, p)
+			})
+		case looked > p.delivered:
+			f.deliverVersion(x, p, looked, sent)
 		default:
-			f.deliverTo(x, p, Polled{Cursor: f.newest(), At: time.Now().Add(-delay), RTT: delay})
+			f.deliverTo(x, p, Polled{Cursor: looked, At: time.Now().Add(-delay), RTT: delay, Sent: sent})
 			f.pollNext(x, p)
 		}
 	})
@@ -106,10 +128,9 @@
 
 func (f *pollMesh) newest() uint64 { return uint64(len(f.store.versions)) }
 
-func (f *pollMesh) deliverNewest(x *simHost, p *poller) {
-	n := f.newest()
-	b, hash := encodeSample(f.c, int(n))
-	f.deliverTo(x, p, Committed{Version: n, Hash: hash, Content: b, Cursor: n, At: time.Now().Add(-f.storeDelay(x))})
+func (f *pollMesh) deliverVersion(x *simHost, p *poller, n uint64, sent time.Duration) {
+	b, hash := f.encode(f.c, int(n))
+	f.deliverTo(x, p, Committed{Version: n, Hash: hash, Content: b, Cursor: n, At: time.Now().Add(-f.storeDelay(x)), Sent: sent})
 	p.delivered = n
 	f.pollNext(x, p)
 }
@@ -121,15 +142,17 @@
 }
 
 func (f *pollMesh) pollNext(x *simHost, p *poller) {
-	p.polling = false
-	f.poll(x, p)
+	f.whenAwake(x, p.process, func() {
+		p.polling = false
+		f.poll(x, p)
+	})
 }
 
 // commitVersion commits the next version to the store. A poll that is waiting returns it
 // at the end of its wait.
 func (f *pollMesh) commitVersion() {
 	n := f.newest() + 1
-	b, hash := encodeSample(f.c, int(n))
+	b, hash := f.encode(f.c, int(n))
 	f.store.versions[n], f.store.objects[hash] = hash, b
 	f.onStep("change", f.nodes[0])
 }
--- /dev/null
+++ b/briarrockd/peer/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package peer
+
+func init() { raceEnabled = true }
--- a/briarrockd/peer/rules_test.go
+++ b/briarrockd/peer/rules_test.go
@@ -383,6 +383,7 @@
 		Summary{Domain: "x", At: 5},
 		CrashReport{Print: 1, Service: "s"},
 		Fetch{Version: 5},
+		Proof{Version: 5, Age: 1, Clock: 2, Echo: 3, Held: 4},
 	} {
 		b, err := EncodeFrame(x)
 		if err != nil {
--- a/briarrockd/peer/simmesh_test.go
+++ b/briarrockd/peer/simmesh_test.go
@@ -29,6 +29,10 @@
 	onStep func(step string, h *simHost)
 	// onWatch is called with each Core's Watch commands.
 	onWatch func(h *simHost, w Watch)
+	// onProof is called with each Core's PublishProof commands, and onProofFrame with
+	// the size of each Proof frame that a host sends.
+	onProof      func(h *simHost, p PublishProof)
+	onProofFrame func(h *simHost, bytes int)
 	// violations collects descriptions of violated invariants.
 	violations []string
 	// lostVersions counts the times that a host served an older version than before
@@ -54,6 +58,9 @@
 	serving       uint64
 	processes     int
 	leaving       bool
+	// suspended is the time for which the host's monotonic clock has stood still.
+	suspended time.Duration
+	storeCut  bool // can't reach the store
 }
 
 // simLink is an open link between two hosts.
@@ -62,6 +69,7 @@
 	ids         [2]LinkID
 	dropsFrames bool
 	closed      bool
+	extraDelay  time.Duration // of each message
 	// helloSent is set once the inbound side has sent its Hello.
 	helloSent bool
 	// lastArrival is the arrival time of the last message in each direction, so that
@@ -119,6 +127,9 @@
 		isolated: make(map[string]bool),
 		onStep:   func(string, *simHost) {},
 		onWatch:  func(*simHost, Watch) {},
+
+		onProof:      func(*simHost, PublishProof) {},
+		onProofFrame: func(*simHost, int) {},
 		store: fakeStore{
 			rows:     make(map[string]platform.Row),
 			objects:  make(map[snapshot.Hash][]byte),
@@ -170,7 +181,7 @@
 	h.serving = 0
 	cfg := h.cfg
 	cfg.Self.Incarnation = uint64(time.Now().UnixMilli())
-	h.core = New(cfg, rand.New(rand.NewPCG(sim.rng.Uint64(), 1)), time.Now())
+	h.core = New(cfg, rand.New(rand.NewPCG(sim.rng.Uint64(), 1)), h.now())
 	sim.tick(h, h.processes)
 }
 
@@ -184,6 +195,14 @@
 	}
 }
 
+// now returns the host's monotonic time, and bootTime its boot clock.
+func (h *simHost) now() time.Time { return time.Now().Add(-h.suspended) }
+
+func (h *simHost) bootTime() time.Duration { return time.Since(simEpoch) + time.Hour }
+
+// simEpoch is the time at which the clock of a synctest bubble starts.
+var simEpoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // kill ends the process of a host and resets its links.
 func (sim *simMesh) kill(h *simHost) {
 	if !h.alive {
@@ -266,7 +285,8 @@
 		return
 	}
 	process := h.processes
-	for _, c := range h.core.Step(time.Now(), m) {
+	h.core.SetBootTime(h.bootTime())
+	for _, c := range h.core.Step(h.now(), m) {
 		if !h.alive || h.processes != process {
 			return // a fault ended the process meanwhile
 		}
@@ -314,6 +334,8 @@
 		sim.checkServed(h, c)
 	case Watch:
 		sim.onWatch(h, c)
+	case PublishProof:
+		sim.onProof(h, c)
 	}
 }
 
@@ -387,7 +409,10 @@
 		sim.corruptNext--
 		b = corruptByte(b, sim.rng)
 	}
-	at := time.Now().Add(sim.delay(h, to))
+	if _, ok := c.Frame.(Proof); ok {
+		sim.onProofFrame(h, len(b))
+	}
+	at := time.Now().Add(sim.delay(h, to) + l.extraDelay)
 	if at.Before(l.lastArrival[side]) {
 		at = l.lastArrival[side]
 	}
@@ -416,6 +441,7 @@
 func stepName(fr Frame) string {
 	return [...]string{
 		"", "hello", "beat", "digests", "listing", "wants", "records", "notice", "fetch", "content", "report", "summary", "hold", "known", "have", "fresh",
+		"", "", "", "proof",
 	}[fr.code()]
 }
 
@@ -450,7 +476,7 @@
 }
 
 func (sim *simMesh) storeReachable(h *simHost) bool {
-	return !sim.store.down && !sim.isolated[h.cfg.Self.Domain] && !sim.isolated[h.cfg.Self.Region]
+	return !sim.store.down && !h.storeCut && !sim.isolated[h.cfg.Self.Domain] && !sim.isolated[h.cfg.Self.Region]
 }
 
 func (sim *simMesh) readHead(h *simHost, reply func(time.Duration, Msg)) {
