--- a/briarrockd/node/platform.go
+++ b/briarrockd/node/platform.go
@@ -81,8 +81,7 @@
 	// is the newest version. ReadAt is the time of the read.
 	LogPosition uint64
 	ReadAt      time.Time
-	// Sent is the reading of WatchHandle.BootTime before the read was sent; 0 if the
-	// read has found a newer version too.
+	// Sent is the reading of WatchHandle.BootTime before the read was sent.
 	Sent time.Duration
 }
 
--- a/briarrockd/peer/message.go
+++ b/briarrockd/peer/message.go
@@ -81,7 +81,7 @@
 	// this node committed it.
 	Cursor uint64
 	At     time.Time
-	// Sent is as in Polled, if no newer version was found.
+	// Sent is as in Polled.
 	Sent time.Duration
 }
 
