peer, platform: polls and fetches that keep proofs young under faults

Cause: with a store that takes 1 s to answer proofs got 4.8 s old, as each poll waits for a second and then for the answer. After all polling nodes were cut off from the store they got 4.05 s old: these nodes leave a version that a peer holds alone for 400 ms, expecting their own polls to find it, and no proof of a version counts before it has arrived. Change: on strict nodes the wait of a poll includes the round trip (Watch.Paced), a node whose polls fail fetches a version at once, and fallback polls begin at 0.55 × revoke.

--- a/briarrockd/peer/message.go
+++ b/briarrockd/peer/message.go
@@ -160,8 +160,10 @@
 	// Cursor is the position in the platform's change feed up to which this node has
 	// all changes; 0 if unknown.
 	Cursor uint64
-	// Wait is how long one poll waits for a change; 0 for an immediate answer.
-	Wait time.Duration
+	// Wait is how long one poll waits for a change; 0 for an immediate answer. If Paced is
+	// set, it is the time from one poll to the next and includes the round trip.
+	Wait  time.Duration
+	Paced bool
 	// Fallback is set if this node is a fallback node: it polls only because it has
 	// received no poll notice for at least pollNoticeTimeout.
 	Fallback bool
--- a/briarrockd/peer/polls_test.go
+++ b/briarrockd/peer/polls_test.go
@@ -46,6 +46,7 @@
 	process   int
 	polling   bool
 	delivered uint64
+	rtt       time.Duration // of the last poll
 }
 
 func newPollMesh(c *qt.C, seed uint64, perDomain int) *pollMesh {
@@ -103,6 +104,10 @@
 		return
 	}
 	wait := p.watch.Wait
+	if p.watch.Paced {
+		wait = max(wait-p.rtt, 0)
+	}
+	p.rtt = delay
 	looked := uint64(0)
 	if f.earlyLook {
 		f.after(time.Duration(f.rng.Int64N(int64(delay+wait))), func() { looked = f.newest() })
--- a/briarrockd/peer/proofs.go
+++ b/briarrockd/peer/proofs.go
@@ -12,11 +12,14 @@
 const (
 	// pollsPerRevoke is the minimum number of polls of a polling node within
 	// Config.Revoke. A proof gets twice as old as a poll takes before the next one
-	// arrives, which is to stay below overdueShare.
+	// arrives, which stays below overdueShare. The wait of a poll is shortened by
+	// the round trip (Watch.Paced): with a store that takes 1 s to answer, proofs would
+	// get 4.8 s old.
 	pollsPerRevoke = 5
 	// overdueShare is the share of Config.Revoke above which the newest proof is older
-	// than it gets while any node polls.
-	overdueShare = 0.6
+	// than it gets while any node polls and links are fast. Polls of fallback nodes then
+	// keep it below 0.6.
+	overdueShare = 0.55
 	// suspensionThreshold is the difference of the boot clock and the monotonic clock
 	// over one tick above which the host was suspended.
 	suspensionThreshold = 100 * time.Millisecond
--- a/briarrockd/peer/watchrole.go
+++ b/briarrockd/peer/watchrole.go
@@ -162,7 +162,7 @@
 }
 
 func (c *Core) choosePolling() Watch {
-	w := Watch{On: true, Cursor: c.watch.cursor}
+	w := Watch{On: true, Cursor: c.watch.cursor, Paced: c.cfg.Strict}
 	switch {
 	case !c.version.ready:
 		w.On = c.pollsAtStart()
@@ -344,6 +344,8 @@
 	switch {
 	case !c.cfg.DelegatePolling || !c.version.ready:
 		return c.now
+	case c.watch.role.current.On && c.cfg.Strict && c.watch.failures > 0:
+		return c.now // this node's proofs are those of other nodes' polls
 	case c.watch.role.current.On:
 		// This node's own poll has most likely found the version too. It is fetched
 		// from a peer only if it has not arrived by then.
