--- a/briarrockd/peer/proofs.go
+++ b/briarrockd/peer/proofs.go
@@ -33,8 +33,9 @@
 	// enabled is set while the version in use has workspaces. Otherwise no request has
 	// a key, and nothing is sent.
 	enabled bool
-	// proven is whether the newest proof was valid at the last tick.
-	proven bool
+	// proven is whether the newest proof was valid at the last tick, and logged is set
+	// once that has been logged.
+	proven, logged bool
 	// reported is the newest version that this node's own polls have found.
 	reported uint64
 	// tickedAt and tickClock are the two clocks at the last tick.
@@ -146,10 +147,10 @@
 	c.sendProofs()
 	p, known := s.state.Current()
 	proven := known && p.Valid(s.clock, c.cfg.Revoke)
-	if !s.enabled || proven == s.proven {
+	if !s.enabled || (s.logged && proven == s.proven) {
 		return
 	}
-	s.proven = proven
+	s.proven, s.logged = proven, true
 	fields := event.Fields{"version": c.version.number, "proven": p.Version}
 	if known {
 		fields["age"] = (s.clock - p.At).Milliseconds()
--- a/briarrockd/peer/proofs_test.go
+++ b/briarrockd/peer/proofs_test.go
@@ -249,7 +249,9 @@
 	}
 	tick(TickInterval, TickInterval)
 	b, hash := encodeKeys(c, 1)
-	core.Step(now, Committed{Version: 1, Hash: hash, Content: b, Cursor: 10, At: now, Sent: boot})
+	core.Step(now, Committed{Version: 1, Hash: hash, Content: b, Cursor: 10, At: now})
+	c.Check(logged(tick(time.Second, time.Second), event.Unproven), qt.IsTrue)
+	core.Step(now, Polled{Cursor: 10, At: now, Sent: boot})
 	c.Check(logged(tick(time.Second, time.Second), event.Proven), qt.IsTrue)
 	cmds := tick(TickInterval, 20*time.Second)
 	c.Check(logged(cmds, event.Suspended), qt.IsTrue)
