mesh/text: workspaces in the operator's text

A text could not define workspaces, so only the users' platform had keys. The text has workspaces with name, keys (plain or as hashes), priority, rate and burst, and open on a route. Mistakes have line and column and quote no key; an unknown YAML anchor, which a key with a leading * is read as, is no longer quoted. HashKeys replaces plain keys by hashes and CompileHashed rejects them.

--- a/mesh/snapshot/diff.go
+++ b/mesh/snapshot/diff.go
@@ -10,7 +10,8 @@
 type Change struct {
 	// Sign is "+" for added, "-" for removed, "~" for changed.
 	Sign string `json:"sign"`
-	// Resource identifies a service ("posting") or a route ("posting POST /x").
+	// Resource identifies a service ("posting"), a route ("posting POST /x") or a
+	// workspace ("workspace northside").
 	Resource string `json:"resource"`
 	// Detail lists the changed fields with their old and new values.
 	Detail string `json:"detail,omitempty"`
@@ -44,7 +45,8 @@
 			out = append(out, Change{Sign: "+", Resource: name})
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Resource < out[j].Resource })
+	out = append(out, diffWorkspaces(a, b)...)
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Resource < out[j].Resource })
 	return out
 }
 
--- a/mesh/strict/strict.go
+++ b/mesh/strict/strict.go
@@ -17,6 +17,7 @@
 	"io"
 	"sort"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"go.yaml.in/yaml/v3"
@@ -78,7 +79,7 @@
 	var doc, second yaml.Node
 	dec := yaml.NewDecoder(bytes.NewReader(src))
 	if err := dec.Decode(&doc); err != nil && !errors.Is(err, io.EOF) {
-		r.addSyntaxError(err)
+		r.addSyntaxError(src, err)
 		return nil, false
 	}
 	// A second document would be ignored without a message.
@@ -87,7 +88,7 @@
 		r.Add(&second, "a second document begins here; there must be one only")
 		return nil, false
 	case !errors.Is(err, io.EOF):
-		r.addSyntaxError(err)
+		r.addSyntaxError(src, err)
 		return nil, false
 	}
 	if len(doc.Content) == 0 {
@@ -99,8 +100,16 @@
 
 // addSyntaxError records a syntax error of the YAML library. It parses the line
 // number from the error's text, the only place where the library reports it.
-func (r *Reader) addSyntaxError(err error) {
+func (r *Reader) addSyntaxError(src []byte, err error) {
 	msg := strings.TrimPrefix(err.Error(), "yaml: ")
+	// The library quotes an unknown anchor, and gives no line. A secret that begins
+	// with * is read as one, so it is not repeated here.
+	if rest, ok := strings.CutPrefix(msg, "unknown anchor '"); ok {
+		name, _, _ := strings.Cut(rest, "' referenced")
+		line, column := position(src, "*"+name)
+		r.AddAt(line, column, "not YAML: a value that begins with * refers to an unknown anchor; quote it")
+		return
+	}
 	line := 0
 	if n, _ := fmt.Sscanf(msg, "line %d:", &line); n == 1 {
 		_, msg, _ = strings.Cut(msg, ": ")
@@ -108,6 +117,17 @@
 	r.AddAt(line, 1, "not YAML: %s", msg)
 }
 
+// position returns the line and column of the first occurrence of s in src; the
+// line is 0 if there is none.
+func position(src []byte, s string) (line, column int) {
+	before, _, ok := bytes.Cut(src, []byte(s))
+	if !ok {
+		return 0, 1
+	}
+	last := before[bytes.LastIndexByte(before, '\n')+1:]
+	return 1 + bytes.Count(before, []byte("\n")), 1 + utf8.RuneCount(last)
+}
+
 // Err returns the recorded mistakes as a Mistakes ordered by position, or nil
 // if there are none.
 func (r *Reader) Err() error {
--- /dev/null
+++ b/mesh/text/hash.go
@@ -0,0 +1,177 @@
+package text
+
+import (
+	"bytes"
+	"encoding/hex"
+	"reflect"
+	"strings"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+
+	"briarrock.example/mesh/snapshot"
+	"briarrock.example/mesh/strict"
+)
+
+// errRewrite means that a rewritten text does not say what it should.
+var errRewrite = errors.New("text: the keys of this text can't be rewritten; write each on a line of its own, without an anchor")
+
+// HashKeys returns a text with each plain key replaced by its hash, and the same
+// text if it has none. The rest of the text is kept, with its comments. Its error
+// is a strict.Mistakes if src has mistakes.
+func HashKeys(src []byte) ([]byte, error) {
+	want, err := Compile(src)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := CompileHashed(src); err == nil {
+		return src, nil
+	}
+	var r strict.Reader
+	root, ok := r.Parse(src)
+	if !ok {
+		return nil, r.Err()
+	}
+	lines := strings.SplitAfter(string(src), "\n")
+	var plain []*yaml.Node
+	for _, w := range workspaceNodes(root) {
+		for _, k := range listNodes(field(w, "keys")) {
+			if k.Kind == yaml.ScalarNode {
+				plain = append(plain, k)
+			}
+		}
+	}
+	// From the last to the first, so that a replacement moves no position that is
+	// still to be used.
+	for i := len(plain) - 1; i >= 0; i-- {
+		if !replaceScalar(lines, plain[i], hashText(snapshot.HashKey(plain[i].Value))) {
+			return hashNodes(root, plain, want)
+		}
+	}
+	out := []byte(strings.Join(lines, ""))
+	if !compilesTo(out, want) {
+		return hashNodes(root, plain, want)
+	}
+	if err := checkLeft(out, plain); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// minLeftBytes is the length from which a plain key may not be left anywhere in a
+// text. A shorter one may well be a part of a name.
+const minLeftBytes = 16
+
+// checkLeft reports the plain keys that are still in a text after their
+// replacement, such as in a comment.
+func checkLeft(out []byte, plain []*yaml.Node) error {
+	var r strict.Reader
+	for _, k := range plain {
+		if len(k.Value) >= minLeftBytes && bytes.Contains(out, []byte(k.Value)) {
+			r.Add(k, "this key is also in another place of the text, such as a comment; remove it there")
+		}
+	}
+	return r.Err()
+}
+
+// hashNodes replaces the plain keys in the parsed text and formats it anew. It
+// serves texts in which a key can't be replaced in place, such as one of several
+// lines.
+func hashNodes(root *yaml.Node, plain []*yaml.Node, want *snapshot.Snapshot) ([]byte, error) {
+	values := make([]*yaml.Node, 0, len(plain))
+	for _, k := range plain {
+		old := *k
+		values = append(values, &old)
+		n := hashNode(snapshot.HashKey(k.Value))
+		n.HeadComment, n.LineComment, n.FootComment = k.HeadComment, k.LineComment, k.FootComment
+		*k = *n
+	}
+	out, err := format(root)
+	if err != nil || !compilesTo(out, want) {
+		return nil, errRewrite
+	}
+	if err := checkLeft(out, values); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+func compilesTo(src []byte, want *snapshot.Snapshot) bool {
+	s, err := CompileHashed(src)
+	return err == nil && reflect.DeepEqual(s, want)
+}
+
+// replaceScalar replaces a plain or quoted scalar that is written as its value on
+// a single line. It returns false for any other.
+func replaceScalar(lines []string, n *yaml.Node, with string) bool {
+	written := n.Value
+	switch n.Style {
+	case 0:
+	case yaml.SingleQuotedStyle:
+		written = "'" + written + "'"
+	case yaml.DoubleQuotedStyle:
+		written = `"` + written + `"`
+	default:
+		return false
+	}
+	if n.Line < 1 || n.Line > len(lines) {
+		return false
+	}
+	// Columns count characters, from 1.
+	line := []rune(lines[n.Line-1])
+	if n.Column < 1 || n.Column > len(line) {
+		return false
+	}
+	rest, ok := strings.CutPrefix(string(line[n.Column-1:]), written)
+	if !ok {
+		return false
+	}
+	lines[n.Line-1] = string(line[:n.Column-1]) + with + rest
+	return true
+}
+
+func hashText(h snapshot.KeyHash) string {
+	return "{" + hashField + ": \"" + hex.EncodeToString(h[:]) + "\"}"
+}
+
+func hashNode(h snapshot.KeyHash) *yaml.Node {
+	return &yaml.Node{Kind: yaml.MappingNode, Style: yaml.FlowStyle, Content: []*yaml.Node{
+		{Kind: yaml.ScalarNode, Value: hashField},
+		{Kind: yaml.ScalarNode, Style: yaml.DoubleQuotedStyle, Value: hex.EncodeToString(h[:])},
+	}}
+}
+
+// format returns the YAML of a parsed text, with its comments.
+func format(root *yaml.Node) ([]byte, error) {
+	var b bytes.Buffer
+	enc := yaml.NewEncoder(&b)
+	enc.SetIndent(2)
+	if err := enc.Encode(root); err != nil {
+		return nil, errors.Wrap(err, "text: format")
+	}
+	return b.Bytes(), errors.Wrap(enc.Close(), "text: format")
+}
+
+// workspaceNodes returns the elements of the list of workspaces.
+func workspaceNodes(root *yaml.Node) []*yaml.Node { return listNodes(field(root, "workspaces")) }
+
+// field returns the value of a mapping's field; nil if it has none.
+func field(n *yaml.Node, name string) *yaml.Node {
+	if n == nil || n.Kind != yaml.MappingNode {
+		return nil
+	}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		if n.Content[i].Value == name {
+			return n.Content[i+1]
+		}
+	}
+	return nil
+}
+
+// listNodes returns the elements of a list; none if n is no list.
+func listNodes(n *yaml.Node) []*yaml.Node {
+	if n == nil || n.Kind != yaml.SequenceNode {
+		return nil
+	}
+	return n.Content
+}
--- a/mesh/text/route.go
+++ b/mesh/text/route.go
@@ -100,6 +100,7 @@
 		"retries":  {Read: func(n *yaml.Node) { retries = n; r.Retries = c.Number(n, 0, maxRetries) }},
 		"callers":  {Read: func(n *yaml.Node) { r.Callers = c.Names(n); sort.Strings(r.Callers) }},
 		"priority": {Read: func(n *yaml.Node) { r.Priority = strict.Choice(&c.Reader, n, priorities) }},
+		"open":     {Read: func(n *yaml.Node) { r.Open = c.Boolean(n) }},
 	})
 	if r.Retries < 0 {
 		r.Retries = defaultRetries
--- a/mesh/text/text.go
+++ b/mesh/text/text.go
@@ -14,6 +14,10 @@
 //	        mode: once
 //	        deadline: 2s
 //	        callers: [kiosk]
+//	workspaces:
+//	  - name: northside
+//	    keys: [{hash: 9c2f0b7d4e6a1835c0de9b7a64f1d823}]
+//	    rate: 50
 //
 // Compile is strict: unknown keys and values, references to missing services,
 // duplicates and numbers out of range are mistakes. It reports all mistakes at
@@ -35,9 +39,16 @@
 const MaxBytes = 4 << 20
 
 // Compile compiles the operator's text to a snapshot. Its error, if any, is a
-// strict.Mistakes.
-func Compile(src []byte) (*snapshot.Snapshot, error) {
-	c := new(compiler)
+// strict.Mistakes. No mistake quotes a key of a workspace.
+func Compile(src []byte) (*snapshot.Snapshot, error) { return new(compiler).compile(src) }
+
+// CompileHashed is Compile for texts that are stored: a plain key is a mistake.
+// HashKeys makes such a text.
+func CompileHashed(src []byte) (*snapshot.Snapshot, error) {
+	return (&compiler{hashedOnly: true}).compile(src)
+}
+
+func (c *compiler) compile(src []byte) (*snapshot.Snapshot, error) {
 	if len(src) > MaxBytes {
 		c.AddAt(0, 0, "the text is larger than %d bytes", MaxBytes)
 		return nil, c.Err()
@@ -66,6 +77,10 @@
 	// dependency cycle.
 	cyclic map[string]bool
 	refs   []reference
+	// owners maps the keys read so far to their workspaces.
+	owners map[snapshot.KeyHash]keyOwner
+	// hashedOnly rejects plain keys.
+	hashedOnly bool
 }
 
 // reference is one name in the depends list of the service from. It is checked
@@ -79,8 +94,9 @@
 	s := new(snapshot.Snapshot)
 	var services *yaml.Node
 	c.Fields(root, "the text", map[string]strict.Field{
-		"mesh":     {Read: func(n *yaml.Node) { s.Mesh = c.Name(n) }, Required: true},
-		"services": {Read: func(n *yaml.Node) { services = n }, Required: true},
+		"mesh":       {Read: func(n *yaml.Node) { s.Mesh = c.Name(n) }, Required: true},
+		"services":   {Read: func(n *yaml.Node) { services = n }, Required: true},
+		"workspaces": {Read: func(n *yaml.Node) { s.Workspaces = c.workspaces(n) }},
 	})
 	if services == nil {
 		return s
@@ -97,6 +113,7 @@
 	c.checkReferences()
 	c.checkCycles(s.Services)
 	s.Inventory = snapshot.NewInventory(s.Services)
+	s.Inventory.Entries = len(s.Workspaces)
 	return s
 }
 
--- a/mesh/text/text_test.go
+++ b/mesh/text/text_test.go
@@ -1,25 +1,45 @@
 package text_test
 
 import (
+	"encoding/hex"
 	"fmt"
 	"io/fs"
 	"os"
+	"reflect"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
 	qt "github.com/frankban/quicktest"
+	"go.yaml.in/yaml/v3"
 
 	"briarrock.example/mesh/snapshot"
 	"briarrock.example/mesh/text"
 )
 
 // TestCompile runs the scripts in testdata. Each compiles a text and expects
-// either its mistakes or the services and routes of its snapshot.
+// either its mistakes or the resources of its snapshot. The command "hashed"
+// compiles a text that must not have plain keys, and "hashkeys" replaces them. No
+// output may contain "-secret", which plain keys in the scripts end with.
 func TestCompile(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
-			s, err := text.Compile([]byte(d.Input))
+			if d.Cmd == "hashkeys" {
+				out, err := text.HashKeys([]byte(d.Input))
+				if err != nil {
+					return err.Error()
+				}
+				return string(out)
+			}
+			compile := text.Compile
+			if d.Cmd == "hashed" {
+				compile = text.CompileHashed
+			}
+			s, err := compile([]byte(d.Input))
 			if err != nil {
+				if strings.Contains(err.Error(), "-secret") {
+					t.Errorf("%s: a mistake contains a key: %v", d.Pos, err)
+				}
 				return err.Error()
 			}
 			out := ""
@@ -44,12 +64,17 @@
 }
 
 // FuzzCompile checks that every input either is rejected or compiles to a
-// snapshot that can be encoded and opened.
+// snapshot that can be encoded and opened, in which every key is written in the
+// text, plain or as a hash, and that HashKeys keeps the snapshot.
 func FuzzCompile(f *testing.F) {
 	f.Add([]byte("mesh: a\nservices: []\n"))
 	f.Add([]byte("mesh: a\nservices:\n  - {name: b, upstreams: 1, routes: [{path: /, mode: once}]}\n"))
 	f.Add([]byte("services: &a [*a]\n"))
 	f.Add([]byte("{: :"))
+	const head = "mesh: a\nservices: [{name: b, upstreams: 1}]\nworkspaces:\n"
+	f.Add([]byte(head + "  - {name: c, keys: [k, 'l', \"m\", {hash: 00112233445566778899aabbccddeeff}], rate: 1, burst: 2}\n"))
+	f.Add([]byte(head + "  - name: c\n    keys:\n      - k # é\n      - |\n        l\n      - \"m\n        n\"\n  - {name: d, priority: bulk}\n"))
+	f.Add([]byte(head + "  - {name: c, keys: [&x k, *x, ~, !!binary aGk=, !t v, 0x10, {hash: 1}]}\n"))
 	f.Fuzz(func(t *testing.T, src []byte) {
 		s, err := text.Compile(src)
 		if err != nil {
@@ -62,5 +87,44 @@
 		if _, err := snapshot.Open(b, snapshot.Sum(b)); err != nil {
 			t.Fatal(fmt.Errorf("Open rejects a compiled snapshot: %w", err))
 		}
+		checkKeys(t, src, s)
+		hashed, err := text.HashKeys(src)
+		if err != nil {
+			return
+		}
+		if again, err := text.CompileHashed(hashed); err != nil || !reflect.DeepEqual(again, s) {
+			t.Fatalf("HashKeys changed the snapshot: %v\n%s", err, hashed)
+		}
 	})
 }
+
+// checkKeys checks that every key of a snapshot is the hash of a scalar of the
+// text, or is written in it in hexadecimal.
+func checkKeys(t *testing.T, src []byte, s *snapshot.Snapshot) {
+	if len(s.Workspaces) == 0 {
+		return
+	}
+	var doc yaml.Node
+	if err := yaml.Unmarshal(src, &doc); err != nil {
+		t.Fatal(err)
+	}
+	known := make(map[string]bool)
+	var visit func(n *yaml.Node)
+	visit = func(n *yaml.Node) {
+		if n.Kind == yaml.ScalarNode {
+			h := snapshot.HashKey(n.Value)
+			known[hex.EncodeToString(h[:])], known[strings.ToLower(n.Value)] = true, true
+		}
+		for _, x := range n.Content {
+			visit(x)
+		}
+	}
+	visit(&doc)
+	for _, w := range s.Workspaces {
+		for _, k := range w.Keys {
+			if !known[hex.EncodeToString(k[:])] {
+				t.Fatalf("workspace %q has a key that is not in the text", w.Name)
+			}
+		}
+	}
+}
