--- a/mesh/text/hash.go
+++ b/mesh/text/hash.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/hex"
-	"reflect"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -27,14 +26,13 @@
 	if _, err := CompileHashed(src); err == nil {
 		return src, nil
 	}
-	var r strict.Reader
-	root, ok := r.Parse(src)
-	if !ok {
-		return nil, r.Err()
+	doc, err := document(src)
+	if err != nil {
+		return nil, err
 	}
 	lines := strings.SplitAfter(string(src), "\n")
 	var plain []*yaml.Node
-	for _, w := range workspaceNodes(root) {
+	for _, w := range workspaceNodes(doc.Content[0]) {
 		for _, k := range listNodes(field(w, "keys")) {
 			if k.Kind == yaml.ScalarNode {
 				plain = append(plain, k)
@@ -45,12 +43,12 @@
 	// still to be used.
 	for i := len(plain) - 1; i >= 0; i-- {
 		if !replaceScalar(lines, plain[i], hashText(snapshot.HashKey(plain[i].Value))) {
-			return hashNodes(root, plain, want)
+			return hashNodes(doc, plain, want)
 		}
 	}
 	out := []byte(strings.Join(lines, ""))
 	if !compilesTo(out, want) {
-		return hashNodes(root, plain, want)
+		return hashNodes(doc, plain, want)
 	}
 	if err := checkLeft(out, plain); err != nil {
 		return nil, err
@@ -77,7 +75,7 @@
 // hashNodes replaces the plain keys in the parsed text and formats it anew. It
 // serves texts in which a key can't be replaced in place, such as one of several
 // lines.
-func hashNodes(root *yaml.Node, plain []*yaml.Node, want *snapshot.Snapshot) ([]byte, error) {
+func hashNodes(doc *yaml.Node, plain []*yaml.Node, want *snapshot.Snapshot) ([]byte, error) {
 	values := make([]*yaml.Node, 0, len(plain))
 	for _, k := range plain {
 		old := *k
@@ -86,7 +84,7 @@
 		n.HeadComment, n.LineComment, n.FootComment = k.HeadComment, k.LineComment, k.FootComment
 		*k = *n
 	}
-	out, err := format(root)
+	out, err := format(doc)
 	if err != nil || !compilesTo(out, want) {
 		return nil, errRewrite
 	}
@@ -96,11 +94,6 @@
 	return out, nil
 }
 
-func compilesTo(src []byte, want *snapshot.Snapshot) bool {
-	s, err := CompileHashed(src)
-	return err == nil && reflect.DeepEqual(s, want)
-}
-
 // replaceScalar replaces a plain or quoted scalar that is written as its value on
 // a single line. It returns false for any other.
 func replaceScalar(lines []string, n *yaml.Node, with string) bool {
@@ -114,20 +107,31 @@
 	default:
 		return false
 	}
-	if n.Line < 1 || n.Line > len(lines) {
+	return replaceAt(lines, n, written, with)
+}
+
+// replaceAt replaces the text old at the position of n by with. It returns false
+// if there is another text.
+func replaceAt(lines []string, n *yaml.Node, old, with string) bool {
+	before, rest, ok := splitAt(lines, n)
+	after, found := strings.CutPrefix(rest, old)
+	if !ok || !found {
 		return false
 	}
-	// Columns count characters, from 1.
+	lines[n.Line-1] = before + with + after
+	return true
+}
+
+// splitAt splits the line of n at its position. Columns count characters, from 1.
+func splitAt(lines []string, n *yaml.Node) (before, rest string, ok bool) {
+	if n.Line < 1 || n.Line > len(lines) {
+		return "", "", false
+	}
 	line := []rune(lines[n.Line-1])
 	if n.Column < 1 || n.Column > len(line) {
-		return false
-	}
-	rest, ok := strings.CutPrefix(string(line[n.Column-1:]), written)
-	if !ok {
-		return false
+		return "", "", false
 	}
-	lines[n.Line-1] = string(line[:n.Column-1]) + with + rest
-	return true
+	return string(line[:n.Column-1]), string(line[n.Column-1:]), true
 }
 
 func hashText(h snapshot.KeyHash) string {
@@ -142,11 +146,11 @@
 }
 
 // format returns the YAML of a parsed text, with its comments.
-func format(root *yaml.Node) ([]byte, error) {
+func format(doc *yaml.Node) ([]byte, error) {
 	var b bytes.Buffer
 	enc := yaml.NewEncoder(&b)
 	enc.SetIndent(2)
-	if err := enc.Encode(root); err != nil {
+	if err := enc.Encode(doc); err != nil {
 		return nil, errors.Wrap(err, "text: format")
 	}
 	return b.Bytes(), errors.Wrap(enc.Close(), "text: format")
--- a/mesh/text/text_test.go
+++ b/mesh/text/text_test.go
@@ -19,11 +19,12 @@
 
 // TestCompile runs the scripts in testdata. Each compiles a text and expects
 // either its mistakes or the resources of its snapshot. The command "hashed"
-// compiles a text that must not have plain keys, and "hashkeys" replaces them. No
+// compiles a text that must not have plain keys, "hashkeys" replaces them, and
+// "add", "remove" and "rotate" edit a workspace's keys. No
 // output may contain "-secret", which plain keys in the scripts end with.
 func TestCompile(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "hashkeys" {
 				out, err := text.HashKeys([]byte(d.Input))
 				if err != nil {
@@ -31,6 +32,16 @@
 				}
 				return string(out)
 			}
+			if edit := edits[d.Cmd]; edit != nil {
+				var workspace, key string
+				d.ScanArgs(t, "workspace", &workspace)
+				d.ScanArgs(t, "key", &key)
+				out, err := edit([]byte(d.Input), workspace, snapshot.HashKey(key))
+				if err != nil {
+					return err.Error()
+				}
+				return string(out)
+			}
 			compile := text.Compile
 			if d.Cmd == "hashed" {
 				compile = text.CompileHashed
@@ -51,6 +62,10 @@
 	})
 }
 
+var edits = map[string]func([]byte, string, snapshot.KeyHash) ([]byte, error){
+	"add": text.AddKey, "remove": text.RemoveKey, "rotate": text.RotateKey,
+}
+
 // TestExamples checks that the example configurations compile without mistakes.
 func TestExamples(t *testing.T) {
 	c := qt.New(t)
--- a/mesh/text/workspace.go
+++ b/mesh/text/workspace.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/hex"
+	"slices"
 	"sort"
 	"strconv"
 
@@ -104,10 +105,14 @@
 		c.owners[h] = keyOwner{owner, n.Line}
 		out = append(out, h)
 	}
-	sort.Slice(out, func(i, j int) bool { return bytes.Compare(out[i][:], out[j][:]) < 0 })
+	sortHashes(out)
 	return out
 }
 
+func sortHashes(hashes []snapshot.KeyHash) {
+	slices.SortFunc(hashes, func(a, b snapshot.KeyHash) int { return bytes.Compare(a[:], b[:]) })
+}
+
 // hashField is the field of a key that is given as its hash.
 const hashField = "hash"
 
