briarrock: apply sends hashes of keys

A plain key in the operator's text would be stored with it and shown by text, history and audit rows. apply and diff replace plain keys by hashes before they send a text, don't send a text with mistakes that may have keys, and a node rejects a text with plain keys with line and column.

TestApplyHashesKeys searches outputs, logs and the store's rows and texts for the keys.

--- a/briarrock/command/apply.go
+++ b/briarrock/command/apply.go
@@ -116,11 +116,15 @@
 	if !ok {
 		return ExitInvalid
 	}
+	hashed, ok := e.hashKeys(c.file, src)
+	if !ok {
+		return ExitInvalid
+	}
 	client, err := e.client()
 	if err != nil {
 		return e.reportFailure(err)
 	}
-	res, err := client.Apply(ctx, api.Apply{Text: stripBase(src), Head: true, Write: newEditID(), Dry: true})
+	res, err := client.Apply(ctx, api.Apply{Text: stripBase(hashed), Head: true, Write: newEditID(), Dry: true})
 	if err != nil {
 		return e.reportFailure(err)
 	}
@@ -159,7 +163,11 @@
 	if !ok {
 		return ExitInvalid
 	}
-	a := api.Apply{Text: stripBase(src), Write: orDefault(c.editID, newEditID()), Note: c.note, Dry: c.dry}
+	hashed, ok := e.hashKeys(c.file, src)
+	if !ok {
+		return ExitInvalid
+	}
+	a := api.Apply{Text: stripBase(hashed), Write: orDefault(c.editID, newEditID()), Note: c.note, Dry: c.dry}
 	if !c.setBase(e, &a, src) {
 		return ExitUsage
 	}
--- /dev/null
+++ b/briarrock/process/keys_test.go
@@ -0,0 +1,146 @@
+package process_test
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"briarrock.example/briarrock/command"
+	api "briarrock.example/mesh/operator"
+	"briarrock.example/mesh/platform"
+	"briarrock.example/mesh/snapshot"
+)
+
+// Keys of the tests. No output, log or row of the store may contain "-secret".
+const (
+	eastKey    = "east-key-secret"
+	eastNewKey = "east-new-key-secret"
+	eastLast   = "east-last-key-secret"
+	westKey    = "west-key-secret"
+)
+
+// keyFleet is a fleet whose outputs are collected and searched for keys.
+type keyFleet struct {
+	*fleet
+	outputs strings.Builder
+}
+
+// do runs a command with a standard input, checks its exit code and returns its output.
+func (f *keyFleet) do(want int, input string, args ...string) string {
+	f.c.Helper()
+	code, out := f.runInput(f.hosts[0], input, args...)
+	f.c.Assert(code, qt.Equals, want, qt.Commentf("%v: %s", args, out))
+	f.outputs.WriteString(out)
+	return out
+}
+
+// write writes a file of the operator and returns its path.
+func (f *keyFleet) write(name, content string) string {
+	path := filepath.Join(f.dir, name)
+	f.c.Assert(os.WriteFile(path, []byte(content), 0o600), qt.IsNil)
+	return path
+}
+
+// checkNoKeys checks that no plain key is in an output, a log or a row of the store, and
+// that no hash is in a log or in an output other than that of text.
+func (f *keyFleet) checkNoKeys() {
+	f.c.Helper()
+	f.c.Check(f.outputs.String(), qt.Not(qt.Contains), "-secret")
+	srv := httptest.NewServer(f.store)
+	defer srv.Close()
+	store := platform.NewHTTP(srv.Client(), srv.URL, "")
+	rows, err := store.List(context.Background(), platform.Scan{Limit: 1000})
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(len(rows) > 3, qt.IsTrue)
+	for _, r := range rows {
+		f.c.Check(string(r.Value), qt.Not(qt.Contains), "-secret", qt.Commentf("%s", r.Key))
+		var a platform.Audit
+		hash := snapshot.Hash{}
+		if json.Unmarshal(r.Value, &a) == nil && a.Text != "" {
+			hash, _ = snapshot.ParseHash(a.Text)
+		}
+		if !hash.IsZero() {
+			b, err := platform.GetContent(context.Background(), store, hash)
+			f.c.Assert(err, qt.IsNil)
+			f.c.Check(string(b), qt.Not(qt.Contains), "-secret", qt.Commentf("text of %s", r.Key))
+		}
+	}
+	for _, h := range f.hosts {
+		f.c.Check(h.log.String(), qt.Not(qt.Contains), "-secret", qt.Commentf("%s", h.name))
+	}
+	for _, key := range []string{eastKey, eastNewKey, eastLast, westKey} {
+		h := snapshot.HashKey(key)
+		short := hex.EncodeToString(h[:4])
+		f.c.Check(f.outputs.String(), qt.Not(qt.Contains), short)
+		for _, x := range f.hosts {
+			f.c.Check(x.log.String(), qt.Not(qt.Contains), short, qt.Commentf("%s", x.name))
+		}
+	}
+}
+
+const workspaceText = `mesh: lakeshore
+services:
+  - name: posting
+    upstreams: 4
+    routes:
+      - {path: /journals, mode: once}
+      - {path: /free, mode: repeatable, open: true}
+
+workspaces:
+  - name: east # the bureau
+    keys:
+      - east-key-secret
+    rate: 50
+    burst: 100
+  - {name: west, keys: [west-key-secret], priority: urgent}
+`
+
+func newKeyFleet(c *qt.C) *keyFleet {
+	f := &keyFleet{fleet: newFleet(c, 1)}
+	f.waitReady()
+	f.do(command.ExitDone, "", "apply", f.write("ws.yaml", workspaceText), "--yes", "--wait", "--timeout", "60s")
+	return f
+}
+
+// TestApplyHashesKeys guards against a plain key that leaves the operator's machine:
+// apply sends hashes, does not send a text with mistakes that may have keys, and a node
+// rejects plain keys from any other client without repeating them.
+func TestApplyHashesKeys(t *testing.T) {
+	c := qt.New(t)
+	f := newKeyFleet(c)
+	_, stored := f.run(f.hosts[0], "text")
+	h := snapshot.HashKey(eastKey)
+	c.Check(stored, qt.Contains, "  - name: east # the bureau\n    keys:\n      - {hash: \""+hex.EncodeToString(h[:])+"\"}\n")
+	c.Check(stored, qt.Not(qt.Contains), "-secret")
+
+	out := f.do(command.ExitDone, "", "diff", f.write("ws.yaml", strings.Replace(workspaceText, "rate: 50", "rate: 60", 1)))
+	c.Check(out, qt.Contains, "workspace east: Rate 50 → 60")
+
+	bad := f.write("bad.yaml", strings.Replace(workspaceText, "rate: 50", "rate: -1", 1))
+	for _, cmd := range []string{"apply", "diff", "check"} {
+		out = f.do(command.ExitInvalid, "", cmd, bad)
+		c.Check(out, qt.Contains, "bad.yaml:13:11:")
+	}
+
+	client := api.New(http.DefaultClient, "http://"+f.hosts[0].operator, "")
+	res, err := client.Apply(context.Background(), api.Apply{Text: []byte(workspaceText), Head: true, Write: "plain-keys"})
+	c.Assert(err, qt.IsNil)
+	c.Check(res.Outcome, qt.Equals, api.Invalid)
+	c.Assert(res.Mistakes, qt.HasLen, 2)
+	c.Check([]int{res.Mistakes[0].Line, res.Mistakes[0].Column}, qt.DeepEquals, []int{12, 9})
+	b, err := json.Marshal(res)
+	c.Assert(err, qt.IsNil)
+	f.outputs.Write(b)
+	f.waitUntil("waiting for the row of the attempt", func() bool {
+		return strings.Contains(f.do(command.ExitDone, "", "history"), "12:9: a plain key")
+	})
+	f.checkNoKeys()
+}
--- a/briarrock/process/process_test.go
+++ b/briarrock/process/process_test.go
@@ -204,10 +204,13 @@
 
 // run runs the command line against a host, with "no" as the input, and returns its
 // exit code and output.
-func (f *fleet) run(h *host, args ...string) (int, string) {
+func (f *fleet) run(h *host, args ...string) (int, string) { return f.runInput(h, "no\n", args...) }
+
+// runInput is run with another standard input than the answer "no".
+func (f *fleet) runInput(h *host, input string, args ...string) (int, string) {
 	var out, errs bytes.Buffer
 	args = append(args, "--node", "http://"+h.operator)
-	code := command.Run(args, command.IO{In: strings.NewReader("no\n"), Out: &out, Err: &errs})
+	code := command.Run(args, command.IO{In: strings.NewReader(input), Out: &out, Err: &errs})
 	return code, out.String() + errs.String()
 }
 
--- a/briarrockd/operator/operator.go
+++ b/briarrockd/operator/operator.go
@@ -237,9 +237,10 @@
 	return row, head, errors.Wrap(err, "operator: parse head")
 }
 
-// compile compiles a text, and returns the snapshot and its encoding.
+// compile compiles a text, and returns the snapshot and its encoding. The text is
+// stored and shown to operators, so it must not have plain keys.
 func compile(b []byte) (*snapshot.Snapshot, []byte, strict.Mistakes) {
-	s, err := text.Compile(b)
+	s, err := text.CompileHashed(b)
 	var mistakes strict.Mistakes
 	if errors.As(err, &mistakes) {
 		return nil, nil, mistakes
