briarrock: workspaces and keys

Giving or taking a key meant an edit of the whole text with a hash made by other tools. "briarrock workspaces" lists and shows workspaces of the newest version, and "briarrock keys add|remove|rotate" edits its text, with the base, conflict and audit of apply. A key is read from a file or standard input and sent as its hash; a key as an argument is refused without printing it.

--- a/briarrock/command/commands.go
+++ b/briarrock/command/commands.go
@@ -17,6 +17,8 @@
 		{"status", "show which version is in force where", &status{}},
 		{"history", "show who changed what, and how fast it was in force", &history{}},
 		{"revert", "make an old version's text the newest version", &revert{}},
+		{"workspaces", "list the workspaces, or show one", &workspaces{}},
+		{"keys", "add, remove or rotate a key of a workspace", &editKeys{}},
 		{"explain", "show how a request would be routed, and why", &explain{}},
 		{"demo", "run a whole mesh in this process and show the main job", &runDemo{}},
 	}
--- a/briarrock/process/keys_test.go
+++ b/briarrock/process/keys_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strings"
@@ -144,3 +146,83 @@
 	})
 	f.checkNoKeys()
 }
+
+// TestKeyCommands guards against edits of keys that change another workspace, overwrite a
+// concurrent edit, have no row in the audit trail, or show a key.
+func TestKeyCommands(t *testing.T) {
+	c := qt.New(t)
+	f := newKeyFleet(c)
+	c.Check(f.do(command.ExitDone, "", "workspaces"), qt.Equals,
+		"east: 1 keys, 50 requests a second, burst 100, priority of the route\n"+
+			"west: 1 keys, no limit, priority urgent\nversion 1 has 2 workspaces\n")
+	c.Check(f.do(command.ExitDone, "", "workspaces", "show", "west", "--json"), qt.JSONEquals,
+		map[string]any{"version": 1, "name": "west", "keys": 1, "priority": "urgent"})
+	f.do(command.ExitInvalid, "", "workspaces", "show", "south")
+	f.do(command.ExitUsage, "", "keys")
+
+	// A dry run changes nothing; an argument is not taken for a key.
+	out := f.do(command.ExitDone, eastNewKey+"\n", "keys", "add", "east", "--dry-run")
+	c.Check(out, qt.Contains, "~ workspace east: 1 key added\n")
+	c.Check(out, qt.Contains, "nothing was applied")
+	f.do(command.ExitUsage, "", "keys", "add", "east", eastNewKey)
+	for _, bad := range []string{"", "\n", " " + eastNewKey, eastNewKey + "\n\n", strings.Repeat("x", 201)} {
+		f.do(command.ExitInvalid, bad, "keys", "add", "east")
+	}
+	f.do(command.ExitInvalid, "", "keys", "add", "east", "--file", filepath.Join(f.dir, "missing"))
+
+	out = f.do(command.ExitDone, "", "keys", "add", "east", "--file", f.write("k", eastNewKey+"\n"), "--write", "add-east-key", "--wait")
+	c.Check(out, qt.Contains, "version 2 accepted (was 1)")
+	out = f.do(command.ExitDone, eastNewKey, "keys", "add", "east", "--write", "add-east-key")
+	c.Check(out, qt.Contains, "version 2 accepted")
+	out = f.do(command.ExitDone, eastNewKey, "keys", "add", "east")
+	c.Check(out, qt.Contains, "nothing to change")
+	f.do(command.ExitInvalid, eastNewKey, "keys", "add", "west")
+	f.do(command.ExitInvalid, westKey, "keys", "remove", "east")
+	f.do(command.ExitInvalid, westKey, "keys", "remove", "south")
+
+	out = f.do(command.ExitDone, eastLast, "keys", "rotate", "east")
+	c.Check(out, qt.Contains, "~ workspace east: 1 key added, 1 key removed\n")
+	// The first key is the one that the rotation removed.
+	f.do(command.ExitInvalid, eastKey, "keys", "remove", "east")
+	f.do(command.ExitDone, eastNewKey, "keys", "remove", "east", "--write", "remove-east-key")
+	f.do(command.ExitDone, eastNewKey, "keys", "remove", "east", "--write", "remove-east-key")
+	f.do(command.ExitDone, eastLast, "keys", "remove", "east", "--note", "bureau closed")
+	c.Check(f.do(command.ExitDone, "", "workspaces", "show", "east"), qt.Contains, "east: 0 keys")
+	c.Check(f.do(command.ExitDone, "", "workspaces", "show", "west"), qt.Contains, "west: 1 keys")
+
+	// The text keeps its comments, and an edit of an old base conflicts.
+	_, stored := f.run(f.hosts[0], "text")
+	c.Check(stored, qt.Contains, "east # the bureau")
+	out = f.do(command.ExitConflict, "", "apply", filepath.Join(f.dir, "ws.yaml"), "--base", "1", "--yes")
+	c.Check(out, qt.Contains, "workspace east: 1 key added")
+
+	out = f.do(command.ExitDone, "", "history")
+	for _, note := range []string{"keys add east", "keys rotate east", "keys remove east", "bureau closed", "by "} {
+		c.Check(out, qt.Contains, note)
+	}
+	f.checkNoKeys()
+}
+
+// TestKeyConflict guards against an edit of a key that overwrites another edit, which came
+// in after the text was read.
+func TestKeyConflict(t *testing.T) {
+	c := qt.New(t)
+	f := newKeyFleet(c)
+	node := &url.URL{Scheme: "http", Host: f.hosts[0].operator}
+	proxy := httputil.NewSingleHostReverseProxy(node)
+	proxy.ModifyResponse = func(r *http.Response) error {
+		if r.Request.URL.Path == api.PathText {
+			f.do(command.ExitDone, eastNewKey, "keys", "add", "east")
+		}
+		return nil
+	}
+	srv := httptest.NewServer(proxy)
+	defer srv.Close()
+	h := &host{operator: srv.Listener.Addr().String()}
+	code, out := f.runInput(h, eastLast, "keys", "add", "east")
+	c.Check(code, qt.Equals, command.ExitConflict, qt.Commentf("%s", out))
+	c.Check(out, qt.Contains, "~ workspace east: 1 key added")
+	f.outputs.WriteString(out)
+	c.Check(f.do(command.ExitDone, "", "workspaces", "show", "east"), qt.Contains, "east: 2 keys")
+	f.checkNoKeys()
+}
--- a/briarrock/process/pages_test.go
+++ b/briarrock/process/pages_test.go
@@ -1,6 +1,7 @@
 package process_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -18,6 +19,9 @@
 	c := qt.New(t)
 	f := newFleet(c, 1)
 	f.waitReady()
+	for i, name := range []string{"key.txt", "next-key.txt"} {
+		c.Assert(os.WriteFile(filepath.Join(f.dir, name), fmt.Appendf(nil, "documented-key-%d\n", i), 0o600), qt.IsNil)
+	}
 	root, err := filepath.Abs("../..")
 	c.Assert(err, qt.IsNil)
 	for _, page := range []string{"INSTALL.md", "OPERATING.md"} {
@@ -31,11 +35,12 @@
 				switch {
 				case strings.HasPrefix(a, "examples/"):
 					args[i] = filepath.Join(root, a)
-				case a == "mesh.yaml":
+				case a == "mesh.yaml", strings.HasSuffix(a, "key.txt"):
 					args[i] = filepath.Join(f.dir, a)
 				}
 			}
 			code, out := f.run(f.hosts[0], args...)
+			c.Check(out, qt.Not(qt.Contains), "documented-key")
 			// explain fails because no target runs in this mesh; check that it
 			// found the route.
 			if args[0] == "explain" {
--- a/mesh/text/text_test.go
+++ b/mesh/text/text_test.go
@@ -69,8 +69,8 @@
 // TestExamples checks that the example configurations compile without mistakes.
 func TestExamples(t *testing.T) {
 	c := qt.New(t)
-	for _, name := range []string{"quaywell", "lakeshore"} {
-		src, err := fs.ReadFile(os.DirFS("../../examples"), name+"/mesh.yaml")
+	for _, name := range []string{"quaywell/mesh", "lakeshore/mesh", "lakeshore/workspaces"} {
+		src, err := fs.ReadFile(os.DirFS("../../examples"), name+".yaml")
 		c.Assert(err, qt.IsNil)
 		s, err := text.Compile(src)
 		c.Assert(err, qt.IsNil)
