--- a/briarrock/command/show.go
+++ b/briarrock/command/show.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"fmt"
 	"os"
 	"strings"
@@ -229,20 +230,30 @@
 	method string
 	url    string
 	caller string
+	key    string // file with the caller's key
 }
 
 func (c *explain) flags(s *flaggy.Subcommand) {
 	s.AddPositionalValue(&c.method, "METHOD", 1, true, "such as GET")
 	s.AddPositionalValue(&c.url, "URL", 2, true, "such as http://orderdesk/orders")
 	s.String(&c.caller, "", "caller", "who would send it")
+	s.String(&c.key, "", "key-file", "file with the caller's key, - for standard input")
 }
 
 func (c *explain) run(ctx context.Context, e *env) int {
+	req := api.Request{Method: c.method, URL: c.url, Caller: c.caller}
+	if c.key != "" {
+		h, ok := e.readKey(c.key)
+		if !ok {
+			return ExitInvalid
+		}
+		req.KeyHash = hex.EncodeToString(h[:])
+	}
 	client, err := e.client()
 	if err != nil {
 		return e.reportFailure(err)
 	}
-	x, err := client.Explain(ctx, c.method, c.url, c.caller)
+	x, err := client.Explain(ctx, req)
 	if err != nil {
 		return e.reportFailure(err)
 	}
@@ -267,6 +278,7 @@
 	if len(x.Callers) > 0 {
 		e.printf("callers: %s", strings.Join(x.Callers, ", "))
 	}
+	e.showKey(x)
 	for _, u := range x.Upstreams {
 		e.printf("  %s in %s, %s: %d slots", u.Host, u.Domain, u.Region, u.Slots)
 	}
@@ -275,6 +287,28 @@
 	}
 }
 
+// showKey prints whose key the request has, and whether it needs one.
+func (e *env) showKey(x api.Explain) {
+	needed := "the route needs one"
+	switch {
+	case x.Open:
+		needed = "the route is open and needs none"
+	case x.Route == "":
+		needed = "no route matches"
+	}
+	switch x.Key {
+	case "":
+	case api.KeyKnown:
+		e.printf("key: of workspace %s", x.Workspace)
+	case api.KeyMissing:
+		e.printf("key: none is given; %s", needed)
+	case api.KeyUnknown:
+		e.printf("key: version %d does not know it; %s", x.Version, needed)
+	default:
+		e.printf("key: %s; %s", x.Key, needed)
+	}
+}
+
 // runDemo runs a whole mesh in this process.
 type runDemo struct{ example string }
 
--- a/briarrock/command/workspaces.go
+++ b/briarrock/command/workspaces.go
@@ -46,7 +46,11 @@
 	if v.Rate > 0 {
 		limit = fmt.Sprintf("%v requests a second, burst %v", v.Rate, v.Burst)
 	}
-	return fmt.Sprintf("%s: %d keys, %s, priority %s", v.Name, v.Keys, limit, orDefault(v.Priority, "of the route"))
+	unit := "keys"
+	if v.Keys == 1 {
+		unit = "key"
+	}
+	return fmt.Sprintf("%s: %d %s, %s, priority %s", v.Name, v.Keys, unit, limit, orDefault(v.Priority, "of the route"))
 }
 
 func (c *workspaces) run(ctx context.Context, e *env) int {
--- a/briarrock/process/keys_test.go
+++ b/briarrock/process/keys_test.go
@@ -153,8 +153,8 @@
 	c := qt.New(t)
 	f := newKeyFleet(c)
 	c.Check(f.do(command.ExitDone, "", "workspaces"), qt.Equals,
-		"east: 1 keys, 50 requests a second, burst 100, priority of the route\n"+
-			"west: 1 keys, no limit, priority urgent\nversion 1 has 2 workspaces\n")
+		"east: 1 key, 50 requests a second, burst 100, priority of the route\n"+
+			"west: 1 key, no limit, priority urgent\nversion 1 has 2 workspaces\n")
 	c.Check(f.do(command.ExitDone, "", "workspaces", "show", "west", "--json"), qt.JSONEquals,
 		map[string]any{"version": 1, "name": "west", "keys": 1, "priority": "urgent"})
 	f.do(command.ExitInvalid, "", "workspaces", "show", "south")
@@ -180,6 +180,20 @@
 	f.do(command.ExitInvalid, westKey, "keys", "remove", "east")
 	f.do(command.ExitInvalid, westKey, "keys", "remove", "south")
 
+	// No target runs, so a request with a known key would be refused for that.
+	const url = "http://posting/journals"
+	out = f.do(command.ExitInvalid, eastNewKey+"\n", "explain", "POST", url, "--key-file", "-")
+	c.Check(out, qt.Contains, "key: of workspace east\n")
+	c.Check(out, qt.Contains, "it would be refused: empty")
+	out = f.do(command.ExitInvalid, eastLast, "explain", "POST", url, "--key-file", "-")
+	c.Check(out, qt.Contains, "key: version 2 does not know it; the route needs one\n")
+	c.Check(out, qt.Contains, "it would be refused: workspace")
+	out = f.do(command.ExitInvalid, "", "explain", "POST", url)
+	c.Check(out, qt.Contains, "key: none is given; the route needs one\n")
+	out = f.do(command.ExitInvalid, eastLast, "explain", "GET", "http://posting/free", "--key-file", "-")
+	c.Check(out, qt.Contains, "key: version 2 does not know it; the route is open and needs none\n")
+	f.do(command.ExitInvalid, " "+eastLast, "explain", "GET", url, "--key-file", "-")
+
 	out = f.do(command.ExitDone, eastLast, "keys", "rotate", "east")
 	c.Check(out, qt.Contains, "~ workspace east: 1 key added, 1 key removed\n")
 	// The first key is the one that the rotation removed.
@@ -188,7 +202,7 @@
 	f.do(command.ExitDone, eastNewKey, "keys", "remove", "east", "--write", "remove-east-key")
 	f.do(command.ExitDone, eastLast, "keys", "remove", "east", "--note", "bureau closed")
 	c.Check(f.do(command.ExitDone, "", "workspaces", "show", "east"), qt.Contains, "east: 0 keys")
-	c.Check(f.do(command.ExitDone, "", "workspaces", "show", "west"), qt.Contains, "west: 1 keys")
+	c.Check(f.do(command.ExitDone, "", "workspaces", "show", "west"), qt.Contains, "west: 1 key")
 
 	// The text keeps its comments, and an edit of an old base conflicts.
 	_, stored := f.run(f.hosts[0], "text")
--- a/briarrock/process/pages_test.go
+++ b/briarrock/process/pages_test.go
@@ -45,6 +45,9 @@
 			// found the route.
 			if args[0] == "explain" {
 				c.Check(out, qt.Contains, "GET /ledgers", qt.Commentf("%s: %s", m[0], out))
+				if strings.Contains(m[0], "--key-file") {
+					c.Check(out, qt.Contains, "key: of workspace northside", qt.Commentf("%s: %s", m[0], out))
+				}
 				continue
 			}
 			c.Check(code, qt.Equals, command.ExitDone, qt.Commentf("%s: %s: %s", page, m[0], out))
--- a/briarrockd/operator/operator.go
+++ b/briarrockd/operator/operator.go
@@ -51,7 +51,7 @@
 	// for which it returns an error is rejected.
 	Identify func(tls *tls.ConnectionState, token string) (string, error)
 	// Explain returns how a request would be routed.
-	Explain func(method, target, caller string) api.Explain
+	Explain func(r api.Request) api.Explain
 	// Ready reports whether the node is ready for callers.
 	Ready func() bool
 }
@@ -161,8 +161,7 @@
 }
 
 func (o *API) explain(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	reply(w, o.deps.Explain(q.Get("method"), q.Get("url"), q.Get("caller")))
+	reply(w, o.deps.Explain(api.ParseRequest(r.URL.Query())))
 }
 
 func (o *API) text(w http.ResponseWriter, r *http.Request) {
--- a/mesh/operator/operator.go
+++ b/mesh/operator/operator.go
@@ -192,9 +192,14 @@
 // Explain describes how a node would route a request: the matching route, its
 // policy and the targets, or the failure kind if the request would be rejected.
 type Explain struct {
-	Version   uint64     `json:"version"`
-	Kind      string     `json:"kind,omitempty"` // failure kind, see package kind
-	Text      string     `json:"text,omitempty"`
+	Version uint64 `json:"version"`
+	Kind    string `json:"kind,omitempty"` // failure kind, see package kind
+	Text    string `json:"text,omitempty"`
+	// Key is what the caller's key is in a version with workspaces, and empty in
+	// any other. With KeyKnown, Workspace is the key's workspace.
+	Key       KeyState   `json:"key,omitempty"`
+	Workspace string     `json:"workspace,omitempty"`
+	Open      bool       `json:"open,omitempty"` // the route needs no key
 	Service   string     `json:"service,omitempty"`
 	Route     string     `json:"route,omitempty"`
 	Mode      string     `json:"mode,omitempty"`
@@ -207,6 +212,41 @@
 	Upstreams []Upstream `json:"upstreams,omitempty"`
 }
 
+// KeyState says whether a version knows a caller's key.
+type KeyState string
+
+// The states of a caller's key.
+const (
+	KeyKnown     KeyState = "known"
+	KeyMissing   KeyState = "missing"
+	KeyMalformed KeyState = "malformed"
+	KeyUnknown   KeyState = "unknown"
+)
+
+// Request is a request that a node explains.
+type Request struct {
+	Method string
+	URL    string // absolute
+	Caller string
+	// KeyHash is the hash of the caller's key (snapshot.HashKey) in hexadecimal;
+	// empty if there is none. The key itself is not sent.
+	KeyHash string
+}
+
+// Query returns the request as a query of PathExplain.
+func (r Request) Query() url.Values {
+	q := url.Values{"method": {r.Method}, "url": {r.URL}, "caller": {r.Caller}}
+	if r.KeyHash != "" {
+		q.Set("keyhash", r.KeyHash)
+	}
+	return q
+}
+
+// ParseRequest is the inverse of Request.Query.
+func ParseRequest(q url.Values) Request {
+	return Request{Method: q.Get("method"), URL: q.Get("url"), Caller: q.Get("caller"), KeyHash: q.Get("keyhash")}
+}
+
 // Client is a client for the operator API of one node.
 type Client struct {
 	http  *http.Client
@@ -246,12 +286,10 @@
 	return out, err
 }
 
-// Explain returns how the node would route a request of caller with the given
-// method and target URL.
-func (c *Client) Explain(ctx context.Context, method, target, caller string) (Explain, error) {
+// Explain returns how the node would route a request.
+func (c *Client) Explain(ctx context.Context, r Request) (Explain, error) {
 	var out Explain
-	q := url.Values{"method": {method}, "url": {target}, "caller": {caller}}
-	err := c.do(ctx, http.MethodGet, PathExplain+"?"+q.Encode(), nil, &out)
+	err := c.do(ctx, http.MethodGet, PathExplain+"?"+r.Query().Encode(), nil, &out)
 	return out, err
 }
 
