mesh/text: replace many keys in one pass

HashKeys split the line anew for each key: 10,000 keys on one line took 48 s. It reads the text once now: 0.3 s.

--- a/mesh/text/hash.go
+++ b/mesh/text/hash.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/hex"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"go.yaml.in/yaml/v3"
@@ -30,7 +31,6 @@
 	if err != nil {
 		return nil, err
 	}
-	lines := strings.SplitAfter(string(src), "\n")
 	var plain []*yaml.Node
 	for _, w := range workspaceNodes(doc.Content[0]) {
 		for _, k := range listNodes(field(w, "keys")) {
@@ -39,15 +39,8 @@
 			}
 		}
 	}
-	// From the last to the first, so that a replacement moves no position that is
-	// still to be used.
-	for i := len(plain) - 1; i >= 0; i-- {
-		if !replaceScalar(lines, plain[i], hashText(snapshot.HashKey(plain[i].Value))) {
-			return hashNodes(doc, plain, want)
-		}
-	}
-	out := []byte(strings.Join(lines, ""))
-	if !compilesTo(out, want) {
+	out, ok := replaceKeys(string(src), plain)
+	if !ok || !compilesTo(out, want) {
 		return hashNodes(doc, plain, want)
 	}
 	if err := checkLeft(out, plain); err != nil {
@@ -94,20 +87,48 @@
 	return out, nil
 }
 
-// replaceScalar replaces a plain or quoted scalar that is written as its value on
-// a single line. It returns false for any other.
-func replaceScalar(lines []string, n *yaml.Node, with string) bool {
-	written := n.Value
+// replaceKeys replaces plain keys, which are in the order of the text, by their
+// hashes. It returns false if one is not written as its value on a single line. It
+// reads the text once, since thousands of keys may be on one line.
+func replaceKeys(src string, plain []*yaml.Node) ([]byte, bool) {
+	var out bytes.Buffer
+	line, column := 1, 1 // of src[0]; columns count characters
+	for _, n := range plain {
+		written, ok := writtenAs(n)
+		i := 0
+		for i < len(src) && (line < n.Line || line == n.Line && column < n.Column) {
+			_, size := utf8.DecodeRuneInString(src[i:])
+			column++
+			if src[i] == '\n' {
+				line, column = line+1, 1
+			}
+			i += size
+		}
+		if !ok || line != n.Line || column != n.Column || !strings.HasPrefix(src[i:], written) {
+			return nil, false
+		}
+		out.WriteString(src[:i])
+		out.WriteString(hashText(snapshot.HashKey(n.Value)))
+		src = src[i+len(written):]
+		column += utf8.RuneCountInString(written)
+	}
+	out.WriteString(src)
+	return out.Bytes(), true
+}
+
+// writtenAs returns how a scalar is written if its value has no escapes; false for
+// a scalar of several lines.
+func writtenAs(n *yaml.Node) (string, bool) {
 	switch n.Style {
 	case 0:
+		return n.Value, true
 	case yaml.SingleQuotedStyle:
-		written = "'" + written + "'"
+		return "'" + n.Value + "'", true
 	case yaml.DoubleQuotedStyle:
-		written = `"` + written + `"`
+		return `"` + n.Value + `"`, true
 	default:
-		return false
+		return "", false
 	}
-	return replaceAt(lines, n, written, with)
 }
 
 // replaceAt replaces the text old at the position of n by with. It returns false
--- a/mesh/text/text_test.go
+++ b/mesh/text/text_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 	qt "github.com/frankban/quicktest"
@@ -143,3 +144,58 @@
 		}
 	}
 }
+
+// TestHashManyKeys guards against a time quadratic in the number of keys on one line:
+// 10,000 keys took 48 s, and take 0.3 s when the text is read once.
+func TestHashManyKeys(t *testing.T) {
+	c := qt.New(t)
+	const limit = 10 * time.Second
+	keys := make([]string, 10000)
+	for i := range keys {
+		keys[i] = fmt.Sprintf("long-long-key-number-%06d", i)
+	}
+	src := "mesh: a\nservices: [{name: b, upstreams: 1}]\nworkspaces: [{name: w, keys: [" + strings.Join(keys, ", ") + "]}]\n"
+	start := time.Now()
+	hashed, err := text.HashKeys([]byte(src))
+	c.Assert(err, qt.IsNil)
+	c.Check(time.Since(start) < limit, qt.IsTrue)
+	c.Check(string(hashed), qt.Not(qt.Contains), "long-key")
+}
+
+// FuzzKeys checks that edits of keys don't panic on any text that compiles, that an added
+// key is the only change, and that its removal restores the snapshot.
+func FuzzKeys(f *testing.F) {
+	const head = "mesh: a\nservices: [{name: b, upstreams: 1}]\nworkspaces:\n"
+	f.Add([]byte(head + "  - {name: c, keys: [{hash: 00112233445566778899aabbccddeeff}], rate: 1}\n"))
+	f.Add([]byte(head + "  - name: c\n    keys:\n    - hash: 00112233445566778899aabbccddeeff\n    - {hash: 10112233445566778899AABBCCDDEEFF} # é\n"))
+	f.Add([]byte(head + "  - {name: c, keys: [ ]}\n  - name: d"))
+	f.Fuzz(func(t *testing.T, src []byte) {
+		s, err := text.CompileHashed(src)
+		if err != nil {
+			return
+		}
+		h := snapshot.HashKey("a key that no input has")
+		for _, w := range s.Workspaces {
+			_, _ = text.RotateKey(src, w.Name, h)
+			added, err := text.AddKey(src, w.Name, h)
+			if err != nil {
+				continue
+			}
+			with, err := text.CompileHashed(added)
+			if err != nil {
+				t.Fatal(err)
+			}
+			changes := snapshot.Diff(s, with)
+			if len(changes) != 1 || changes[0].String() != "~ workspace "+w.Name+": 1 key added" {
+				t.Fatalf("AddKey changed %v", changes)
+			}
+			removed, err := text.RemoveKey(added, w.Name, h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if again, err := text.CompileHashed(removed); err != nil || !reflect.DeepEqual(again, s) {
+				t.Fatalf("RemoveKey did not restore the snapshot: %v\n%s", err, removed)
+			}
+		}
+	})
+}
