caller: load the table after the check of its proof

A call loaded its table first and asked for the proof later. A version without the caller's key that came into use in between was proven, and the call was served by the table before it, with the removed key. The proof is now evaluated before the table is loaded, so the table is at least as new as the proven version.

TestTableProven failed before: the call ran with the removed key.

--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -238,6 +238,8 @@
 // admit finds the route of a request and makes all checks that are possible before
 // anything is sent.
 func (p *Proxy) admit(r *http.Request, key callerKey, now time.Time) (*call, refusal) {
+	// A table that is loaded before the proof may be older than the version that it proves.
+	proven := p.proven(key)
 	c := &call{r: r, trace: traceID(r), startedAt: now, table: p.table.Load()}
 	if p.draining.Load() {
 		return c, refusal{kind: kind.Drain}
@@ -249,7 +251,7 @@
 		return c, refusal{kind: k}
 	}
 	c.upstreams = c.table.upstreams[c.service.Name]
-	if ref := p.identify(c, key); ref.kind != kind.None {
+	if ref := p.identify(c, key, proven); ref.kind != kind.None {
 		return c, ref
 	}
 	p.promoteNested(c)
--- a/briarrockd/caller/workspace.go
+++ b/briarrockd/caller/workspace.go
@@ -100,10 +100,16 @@
 	return ok && !route.Open
 }
 
+// proven reports whether the table that is loaded next is recent enough for a call with the
+// given key.
+func (p *Proxy) proven(k callerKey) bool {
+	return k.state != keyPresent || p.deps.Proven == nil || p.deps.Proven()
+}
+
 // identify finds the call's workspace by the caller's key. It refuses a call without one on
 // a route that is not open. While the version in use may be out of date, it refuses all
 // calls that depend on a key: the key may have been taken away, or an unknown one added.
-func (p *Proxy) identify(c *call, k callerKey) refusal {
+func (p *Proxy) identify(c *call, k callerKey, proven bool) refusal {
 	if c.table.workspaces == nil {
 		return refusal{}
 	}
@@ -111,7 +117,7 @@
 	if w == nil && c.route.Open {
 		return refusal{}
 	}
-	if k.state == keyPresent && p.deps.Proven != nil && !p.deps.Proven() {
+	if !proven {
 		return p.refuseKey(c, keyUnproven, refusal{kind: kind.Unproven, retryAfter: jitter(unprovenRetryAfter)})
 	}
 	if w == nil {
--- a/briarrockd/caller/workspace_test.go
+++ b/briarrockd/caller/workspace_test.go
@@ -311,6 +311,24 @@
 	c.Check(callWithKeys(p, "http://desk.example/open", "north-key").Code, qt.Equals, http.StatusOK)
 }
 
+// TestTableProven guards against a key that is looked up in an older table than the one that
+// was proven: a version without the key comes into use while the call is admitted.
+func TestTableProven(t *testing.T) {
+	c := qt.New(t)
+	var p *Proxy
+	p, tr := newWorkspaceProxy(func(d *Deps) {
+		d.Proven = func() bool {
+			s := workspaceSnapshot()
+			s.Workspaces = s.Workspaces[1:]
+			p.SetTable(NewTable(2, s, members()))
+			return true
+		}
+	})
+	w := callWithKeys(p, "http://desk.example/a", eastKey)
+	c.Check(w.Code, qt.Equals, http.StatusUnauthorized)
+	c.Check(tr.headers, qt.HasLen, 0)
+}
+
 // TestNestedWithoutKey checks calls that a target of this host makes while it runs a
 // request: they carry no key, run on open routes, and keep their priority, also if they
 // carry the key of a workspace with a lower one.
