peer: a version that is refused proves nothing

A committed version that could not be read still raised the cursor, counted as a proof of the version in use and was broadcast as a poll. onCommitted now stops once the version is refused. The platform's watcher also recorded a version as reported before the node had encoded it, so that one which can't be encoded was never reported again; ReportVersion now returns whether the version was sent.

--- a/briarrockd/node/platform.go
+++ b/briarrockd/node/platform.go
@@ -143,14 +143,16 @@
 	}
 }
 
-// ReportVersion sends a version that a poll found to the Core.
-func (h *WatchHandle) ReportVersion(v Version) {
+// ReportVersion sends a version that a poll found to the Core. It returns false if the
+// version can't be encoded.
+func (h *WatchHandle) ReportVersion(v Version) bool {
 	b, err := snapshot.Encode(v.Snapshot)
 	if err != nil {
 		h.log.Emit(event.VersionRefused, event.Fields{event.Subject: "platform", "version": v.Number, "error": err.Error()})
-		return
+		return false
 	}
 	h.send(peer.Committed{Version: v.Number, Hash: snapshot.Sum(b), Content: b, Cursor: v.LogPosition, At: v.ReadAt, Sent: v.Sent})
+	return true
 }
 
 // BootTime reads the clock that Version.Sent and peer.Polled.Sent refer to. It also
--- a/briarrockd/peer/proofs_test.go
+++ b/briarrockd/peer/proofs_test.go
@@ -262,6 +262,21 @@
 	c.Check(logged(tick(TickInterval, TickInterval), event.Proven), qt.IsTrue)
 }
 
+// TestCommittedRefused guards against a version that can't be read and yet raises the cursor,
+// counts as a proof of the version before it, or as a poll that other nodes are told of.
+func TestCommittedRefused(t *testing.T) {
+	c := qt.New(t)
+	core, now := largeDomainCore(c, 25)
+	core.cfg.Strict, core.cfg.Revoke = true, revoke
+	core.SetBootTime(time.Hour)
+	b, hash := encodeKeys(c, 2)
+	cmds := core.Step(now, Committed{Version: 2, Hash: hash, Content: b[:len(b)-1], Cursor: 20, At: now, Sent: time.Hour - time.Second})
+	c.Check(logged(cmds, event.VersionRefused), qt.IsTrue)
+	c.Check(cmds, qt.HasLen, 1)
+	c.Check(core.watch.cursor, qt.Equals, uint64(10))
+	c.Check(core.proofs.reported, qt.Not(qt.Equals), uint64(2))
+}
+
 // TestStrictPollWait checks that only a strict node polls more often.
 func TestStrictPollWait(t *testing.T) {
 	c := qt.New(t)
--- a/briarrockd/peer/version.go
+++ b/briarrockd/peer/version.go
@@ -348,7 +348,9 @@
 }
 
 func (c *Core) onCommitted(m Committed) {
-	c.acceptVersion(m.Version, m.Hash, m.Content)
+	if !c.acceptVersion(m.Version, m.Hash, m.Content) {
+		return // the read shows nothing about the version in use
+	}
 	at := m.At
 	if at.IsZero() {
 		at = c.now
