claim: a call whose workspace has changed does not run twice

The workspace was part of the name of a claim's row. The row is again named by service and key only, and the workspace is part of the stored fingerprint, by a cryptographic hash: the call then gets a conflict.

TestWorkspaceOfClaim failed before.

--- a/briarrockd/claim/claim.go
+++ b/briarrockd/claim/claim.go
@@ -23,6 +23,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
@@ -71,7 +72,7 @@
 type Request struct {
 	Service string
 	// Workspace is the name of the caller's workspace, empty if it has none. The same key
-	// of another workspace identifies another request.
+	// with another workspace is a different request, as with another fingerprint.
 	Workspace string
 	Key       string
 	// Fingerprint distinguishes requests: the same key with another fingerprint
@@ -206,9 +207,10 @@
 // Begin decides whether this node may run a request, and claims it if so.
 func (c *Claims) Begin(ctx context.Context, r Request) Decision {
 	now := time.Now().UTC()
+	fingerprint := r.storedFingerprint()
 	cl := &Claim{
 		key: rowKey(now, 0, r),
-		row: row{ID: newID(), Fingerprint: r.Fingerprint, Host: c.host},
+		row: row{ID: newID(), Fingerprint: fingerprint, Host: c.host},
 	}
 	value, err := json.Marshal(cl.row)
 	if err != nil {
@@ -225,7 +227,7 @@
 		c.release(cl, false)
 		return Decision{}
 	}
-	return decide(cl, res, r.Fingerprint)
+	return decide(cl, res, fingerprint)
 }
 
 func decide(cl *Claim, res writeResult, fingerprint uint64) Decision {
@@ -373,13 +375,23 @@
 	return now.AddDate(0, 0, offset).Format("20060102")
 }
 
-func rowKey(now time.Time, dayOffset int, r Request) string {
-	name := r.Service + "\x00" + r.Key
-	if r.Workspace != "" {
-		// The leading zero byte and the length make the name distinct from any other.
-		name = fmt.Sprintf("\x00%d:%s%s", len(r.Workspace), r.Workspace, name)
+// storedFingerprint returns the fingerprint of the request with its workspace, in a claim's
+// row.
+//
+// The workspace isn't part of the row's key: a request that is repeated after its caller has
+// got another workspace, or its first one, would find no claim and run again. The hash is a
+// cryptographic one, so that no workspace can make up a request that has the fingerprint of
+// another one's and gets its response.
+func (r Request) storedFingerprint() uint64 {
+	if r.Workspace == "" {
+		return r.Fingerprint
 	}
-	sum := blake3.Sum256([]byte(name))
+	sum := blake3.Sum256(append(binary.BigEndian.AppendUint64(nil, r.Fingerprint), r.Workspace...))
+	return max(binary.BigEndian.Uint64(sum[:]), 1)
+}
+
+func rowKey(now time.Time, dayOffset int, r Request) string {
+	sum := blake3.Sum256([]byte(r.Service + "\x00" + r.Key))
 	return fmt.Sprintf("%s%s/%s", Prefix, day(now, dayOffset), hex.EncodeToString(sum[:16]))
 }
 
--- a/briarrockd/claim/claim_test.go
+++ b/briarrockd/claim/claim_test.go
@@ -123,6 +123,30 @@
 	})
 }
 
+// TestWorkspaceOfClaim repeats a request whose workspace has changed since the first time.
+// It must not run again, and must not get the response to another workspace.
+func TestWorkspaceOfClaim(t *testing.T) {
+	workspaces := []string{"", "east", "west"}
+	for _, first := range workspaces {
+		for _, second := range workspaces {
+			testClaims(t, func(c *qt.C, _ *memoryStore, a, b *Claims) {
+				r := testRequest
+				r.Workspace = first
+				d := a.Begin(context.Background(), r)
+				c.Assert(d.Verdict, qt.Equals, Run)
+				a.Finish(d.Claim, Outcome{Status: 201})
+				time.Sleep(time.Second)
+				r.Workspace = second
+				want := Conflict
+				if first == second {
+					want = Replay
+				}
+				c.Check(b.Begin(context.Background(), r).Verdict, qt.Equals, want, qt.Commentf("%q, then %q", first, second))
+			})
+		}
+	}
+}
+
 // TestMidnight sends a request just before midnight, just after it, and 23 hours
 // later. It must not run twice although the day in the key changes.
 func TestMidnight(t *testing.T) {
