proof: correct a peer's durations for the rate of its clock

A reading that is held for up to 30 s by a clock that is 0.1 % faster makes a proof 30 ms younger, at each such hop; over many hops that exceeds the margin of 2 %. Receive now takes Held/1000 from the time at which the frame was made, and adds Age/1000 to the age.

--- a/briarrockd/proof/link.go
+++ b/briarrockd/proof/link.go
@@ -12,10 +12,15 @@
 	// ones. The one that was under way for the shortest time gives the tightest bound.
 	echoWindow = 10 * time.Second
 	// maxHeld is the time for which a clock reading may be held before it is echoed. It
-	// bounds the error from the difference of the hosts' clock rates.
+	// bounds the correction for the difference of the hosts' clock rates.
 	maxHeld = 30 * time.Second
 	// maxMillis bounds all times in a frame, so that sums don't overflow: 35 years.
 	maxMillis = 1 << 40
+	// rateDivisor is the inverse of the greatest difference of two hosts' clock rates, as a
+	// share. A peer's durations are corrected by it: over several hops with proofs and
+	// readings that were held for seconds, the differences would exceed the margin of
+	// Proof.Valid.
+	rateDivisor = 1000
 	// rateTolerance is the difference of two clocks over maxHeld that is not a fault.
 	rateTolerance = 50 * time.Millisecond
 	// resendDivisor is the inverse of the share of the proofs' age limit after which a
@@ -68,6 +73,7 @@
 //
 // The frame was made at the time Echo + Held or later, since the peer can't echo a clock
 // reading before it was sent. Time in transit is therefore never counted as the proof's.
+// Held and Age are durations by the peer's clock, which may be faster or slower.
 func (l *Link) Receive(now time.Duration, f Frame) (p Proof, ok bool, err error) {
 	if f.Clock == 0 || f.Clock > maxMillis || f.Clock < l.heard {
 		return Proof{}, false, ErrClock
@@ -79,15 +85,16 @@
 		l.hear(now, f.Clock)
 		return Proof{}, false, nil
 	}
-	made := fromMillis(f.Echo-1) + fromMillis(f.Held)
+	held, age := fromMillis(f.Held), fromMillis(f.Age)
+	made := fromMillis(f.Echo-1) + held - held/rateDivisor
 	if l.last == 0 || f.Echo < l.first || f.Echo > l.last || made > now+rateTolerance {
 		return Proof{}, false, ErrEcho
 	}
 	l.hear(now, f.Clock)
-	if f.Age == 0 || fromMillis(f.Held) > maxHeld {
+	if f.Age == 0 || held > maxHeld {
 		return Proof{}, false, nil
 	}
-	p = Proof{Version: f.Version, At: min(made, now) - fromMillis(f.Age)}
+	p = Proof{Version: f.Version, At: min(made, now) - age - age/rateDivisor}
 	l.known = max(l.known, p.At)
 	return p, p.At > 0, nil
 }
--- a/briarrockd/proof/proof.go
+++ b/briarrockd/proof/proof.go
@@ -24,8 +24,8 @@
 }
 
 // marginDivisor is the inverse of the share of the limit that is left unused. It covers
-// the difference of the clock rates of the hosts that a proof crosses, which is below
-// 0.1 %.
+// the difference between this host's clock rate and the true one. The rates of other hosts'
+// clocks are corrected for in [Link.Receive].
 const marginDivisor = 50
 
 // Valid reports whether the proof is young enough at now, for a limit on its age. A proof
--- a/briarrockd/proof/proof_test.go
+++ b/briarrockd/proof/proof_test.go
@@ -12,9 +12,11 @@
 // limit is the limit on the age of proofs in the tests.
 const limit = 5 * time.Second
 
-// scriptHost is a host of a script. Its clock is ahead of the script's time by offset.
+// scriptHost is a host of a script. Its clock is ahead of the script's time by offset, and
+// faster by the given parts per million.
 type scriptHost struct {
 	offset time.Duration
+	ppm    int64
 	state  State
 	links  map[string]*Link // by the peer's name
 }
@@ -48,11 +50,14 @@
 		}
 		return v
 	}
-	ms := func(key string) time.Duration { return fromMillis(number(key)) }
 	h := s.hosts[text("host")]
+	at := func(key string) time.Duration { return h.clock(fromMillis(number(key))) }
 	switch d.Cmd {
 	case "start": // a new process; its links are new too
-		h = &scriptHost{offset: ms("offset"), links: make(map[string]*Link)}
+		h = &scriptHost{offset: fromMillis(number("offset")), links: make(map[string]*Link)}
+		if d.HasArg("ppm") {
+			d.ScanArgs(t, "ppm", &h.ppm)
+		}
 		s.hosts[text("host")] = h
 		h.state.Use(number("version"))
 		return "ok"
@@ -63,10 +68,10 @@
 	case "use":
 		h.state.Use(number("version"))
 	case "read": // of the store: sent, and answered at a later time
-		h.state.Add(h.offset+ms("answered"), Proof{number("version"), h.offset + ms("sent")})
+		h.state.Add(at("answered"), Proof{number("version"), at("sent")})
 	case "send":
 		p, _ := h.state.Current()
-		s.frames[text("frame")] = h.link(text("peer")).Frame(h.offset+ms("at"), p)
+		s.frames[text("frame")] = h.link(text("peer")).Frame(at("at"), p)
 		return "ok"
 	case "forge":
 		f := s.frames[text("frame")]
@@ -78,16 +83,16 @@
 		s.frames[text("frame")] = f
 		return "ok"
 	case "receive":
-		p, ok, err := h.link(text("peer")).Receive(h.offset+ms("at"), s.frames[text("frame")])
+		p, ok, err := h.link(text("peer")).Receive(at("at"), s.frames[text("frame")])
 		if err != nil {
 			return err.Error()
 		}
 		if ok {
-			h.state.Add(h.offset+ms("at"), p)
+			h.state.Add(at("at"), p)
 		}
 	case "check":
 		p, ok := h.state.Current()
-		now := h.offset + ms("at")
+		now := at("at")
 		if !ok {
 			return "no proof"
 		}
@@ -99,7 +104,16 @@
 	if !ok {
 		return "no proof"
 	}
-	return fmt.Sprintf("version %d at %d", p.Version, (p.At - h.offset).Milliseconds())
+	return fmt.Sprintf("version %d at %d", p.Version, h.trueTime(p.At).Milliseconds())
+}
+
+// clock returns the host's clock at a time of the script, and trueTime the reverse.
+func (h *scriptHost) clock(at time.Duration) time.Duration {
+	return h.offset + at + at*time.Duration(h.ppm)/1e6
+}
+
+func (h *scriptHost) trueTime(clock time.Duration) time.Duration {
+	return time.Duration(float64(clock-h.offset) / (1 + float64(h.ppm)/1e6))
 }
 
 func (h *scriptHost) link(peer string) *Link {
