caller: open routes are served by a host without proof

A call with a valid key on an open route was refused with 503 at a host that can't prove its version, although docs/PLAN.md says that open routes are served. It now runs without a workspace, as a call with an unknown key does.

TestUnproven expected the 503. It now expects that the call runs, without the workspace's name and priority; it failed before.

--- a/briarrockd/caller/workspace.go
+++ b/briarrockd/caller/workspace.go
@@ -107,20 +107,20 @@
 }
 
 // identify finds the call's workspace by the caller's key. It refuses a call without one on
-// a route that is not open. While the version in use may be out of date, it refuses all
-// calls that depend on a key: the key may have been taken away, or an unknown one added.
+// a route that is not open. Unless the version in use is proven, it refuses all calls there
+// that have a key: the key may have been taken away, or an unknown one added. On an open
+// route they run without a workspace.
 func (p *Proxy) identify(c *call, k callerKey, proven bool) refusal {
 	if c.table.workspaces == nil {
 		return refusal{}
 	}
 	w, state := c.table.workspace(k)
-	if w == nil && c.route.Open {
+	switch {
+	case c.route.Open && (w == nil || !proven):
 		return refusal{}
-	}
-	if !proven {
+	case !proven:
 		return p.refuseKey(c, keyUnproven, refusal{kind: kind.Unproven, retryAfter: jitter(unprovenRetryAfter)})
-	}
-	if w == nil {
+	case w == nil:
 		return p.refuseKey(c, state, refusal{kind: kind.Workspace})
 	}
 	c.workspace = w
