caller: calls held at start-up wait for the proof

A call with a key that was held at a starting node was answered as soon as the node had a version and targets: with 503 unproven, although the proof follows within some milliseconds. The start-up wait of such a call now also needs the proof, unless its route is open, and the arrival of a proof wakes it.

TestProofAtStart failed before: 503 at once instead of 200 after 100 ms.

--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -229,10 +229,31 @@
 	if ms, err := strconv.ParseInt(r.Header.Get(target.HeaderDeadline), 10, 64); err == nil {
 		timeLeft = time.Duration(ms) * time.Millisecond
 	}
-	p.startup.wait(r.Context(), timeLeft, func() bool {
-		t := p.table.Load()
-		return t != nil && (t.canServe(r) || t.refusesKey(r, key))
-	})
+	p.startup.wait(r.Context(), timeLeft, func() bool { return p.canDecide(r, key) })
+}
+
+// canDecide reports whether a call at a node that has just started needs to wait no longer:
+// it can be served, or no other table would make a difference. A call with a key waits for
+// the proof of the version too, which arrives shortly after it.
+func (p *Proxy) canDecide(r *http.Request, key callerKey) bool {
+	proven := p.proven(key)
+	t := p.table.Load()
+	switch {
+	case t == nil:
+		return false
+	case t.needsKey(r):
+		return t.refusesKey(r, key) || (proven && t.canServe(r))
+	default:
+		return t.canServe(r)
+	}
+}
+
+// NotifyProof wakes the calls that wait at a node that has just started, because Deps.Proven
+// may have changed.
+func (p *Proxy) NotifyProof() {
+	if !p.startup.finished() {
+		p.startup.notify()
+	}
 }
 
 // admit finds the route of a request and makes all checks that are possible before
--- a/briarrockd/caller/startup.go
+++ b/briarrockd/caller/startup.go
@@ -20,35 +20,36 @@
 )
 
 // startup notifies the calls at a node that has just started when a new routing table is
-// set. Such a node gets a configuration within some tenths of a second, and its callers
+// set, or a proof of its version has arrived. Such a node gets a configuration within some tenths of a second, and its callers
 // can use no other node. If they were refused at once, most would retry too early.
 type startup struct {
 	startedAt time.Time
 	mu        sync.Mutex
-	tableSet  chan struct{} // closed when the next table is set
+	next      chan struct{} // closed at the next table or proof
 }
 
 func newStartup() *startup {
-	return &startup{startedAt: time.Now(), tableSet: make(chan struct{})}
+	return &startup{startedAt: time.Now(), next: make(chan struct{})}
 }
 
 // finished reports whether startupPeriod is over: a configuration or target that is still
 // missing is then not just late.
 func (s *startup) finished() bool { return time.Since(s.startedAt) >= startupPeriod }
 
-// notify wakes the calls that wait for a table.
+// notify wakes the calls that wait for a table or a proof.
 func (s *startup) notify() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	close(s.tableSet)
-	s.tableSet = make(chan struct{})
+	close(s.next)
+	s.next = make(chan struct{})
 }
 
-// changed returns a channel that is closed when the next table is set.
+// changed returns a channel that is closed when the next table is set or the next proof
+// arrives.
 func (s *startup) changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tableSet
+	return s.next
 }
 
 // wait blocks until ready returns true, for at most a part of the time that a call has
--- a/briarrockd/caller/workspace.go
+++ b/briarrockd/caller/workspace.go
@@ -83,10 +83,16 @@
 
 // refusesKey reports whether a request is refused for its key whatever targets there are.
 func (t *Table) refusesKey(r *http.Request, k callerKey) bool {
-	if t.workspaces == nil {
+	if !t.needsKey(r) {
 		return false
 	}
-	if w, _ := t.workspace(k); w != nil {
+	w, _ := t.workspace(k)
+	return w == nil
+}
+
+// needsKey reports whether a request is refused unless it has a valid key.
+func (t *Table) needsKey(r *http.Request) bool {
+	if t.workspaces == nil {
 		return false
 	}
 	if e, _ := t.entry(hostName(r.Host), r.URL.Path); e != nil {
--- a/briarrockd/caller/workspace_test.go
+++ b/briarrockd/caller/workspace_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -397,6 +398,34 @@
 	})
 }
 
+// TestProofAtStart guards against a 503 at a node that has just started and gets the proof of
+// its version shortly after the version. Calls that need no key do not wait for it, and at a
+// node that gets no proof no call waits for longer than for targets.
+func TestProofAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var proven atomic.Bool
+		p, _ := newWorkspaceProxy(func(d *Deps) { d.Proven = proven.Load })
+		check := func(path string, status int, took time.Duration, keys ...string) {
+			began := time.Now()
+			c.Check(callWithKeys(p, "http://desk.example"+path, keys...).Code, qt.Equals, status, qt.Commentf("%s %q", path, keys))
+			c.Check(time.Since(began), qt.Equals, took, qt.Commentf("%s %q", path, keys))
+		}
+		check("/a", http.StatusServiceUnavailable, maxStartupWait, eastKey)
+		check("/a", http.StatusUnauthorized, 0)
+		check("/open", http.StatusOK, 0, eastKey)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			proven.Store(true)
+			p.NotifyProof()
+		}()
+		check("/a", http.StatusOK, 100*time.Millisecond, eastKey)
+		proven.Store(false)
+		time.Sleep(startupPeriod)
+		check("/a", http.StatusServiceUnavailable, 0, eastKey)
+	})
+}
+
 // TestAllowance checks when calls take a token of their workspace's allowance, and which
 // return it: only calls that did not run, and each one token, however many attempts were
 // made. A token that is returned twice would let a workspace exceed its allowance.
--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -199,7 +199,7 @@
 	n.peers = peer.NewTransport(n.peerConfig(), peer.Deps{
 		Store: store, Log: n.log, Metrics: n.metrics, Credentials: n.peerKeys(), Listener: n.listeners[peerListener], Seed: rand.Uint64(),
 		Dial: d.Dial, CommitClaims: n.claims.CommitForwarded, BootTime: n.coreBootTime(),
-		Hooks: peer.Hooks{ServeVersion: n.useVersion, PublishMembers: n.useMembers, HeldRequest: n.setCrashCount, Watch: n.watch.setTurn, PublishProof: n.prover.publish},
+		Hooks: peer.Hooks{ServeVersion: n.useVersion, PublishMembers: n.useMembers, HeldRequest: n.setCrashCount, Watch: n.watch.setTurn, PublishProof: n.useProof},
 	})
 	n.operators = operator.New(operator.Deps{
 		Host: n.cfg.Host, Store: store, Peers: n.peers, Log: n.log, Metrics: n.metrics,
@@ -292,6 +292,12 @@
 	}
 }
 
+// useProof puts a proof from the Core into use.
+func (n *Node) useProof(p peer.PublishProof) {
+	n.prover.publish(p)
+	n.proxy.NotifyProof()
+}
+
 // useMembers puts the members from the Core into use.
 func (n *Node) useMembers(p peer.PublishMembers) {
 	n.mu.Lock()
