caller: no early 401 for an unknown key at start

A starting node answered 401 to a call with a key that its first table lacks, before it had targets. That table comes from a peer and may be behind a version that has added the key. Only calls without a key, or with a malformed one, are now refused early.

--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -234,7 +234,8 @@
 
 // canDecide reports whether a call at a node that has just started needs to wait no longer:
 // it can be served, or no other table would make a difference. A call with a key waits for
-// the proof of the version too, which arrives shortly after it.
+// the proof of the version too, which arrives shortly after it. It waits also if the key is
+// unknown: the first table, a peer's, may be behind and lack a new key.
 func (p *Proxy) canDecide(r *http.Request, key callerKey) bool {
 	proven := p.proven(key)
 	t := p.table.Load()
@@ -242,7 +243,7 @@
 	case t == nil:
 		return false
 	case t.needsKey(r):
-		return t.refusesKey(r, key) || (proven && t.canServe(r))
+		return key.state != keyPresent || (proven && t.canServe(r))
 	default:
 		return t.canServe(r)
 	}
--- a/briarrockd/caller/workspace.go
+++ b/briarrockd/caller/workspace.go
@@ -81,15 +81,6 @@
 	return nil, keyUnknown
 }
 
-// refusesKey reports whether a request is refused for its key whatever targets there are.
-func (t *Table) refusesKey(r *http.Request, k callerKey) bool {
-	if !t.needsKey(r) {
-		return false
-	}
-	w, _ := t.workspace(k)
-	return w == nil
-}
-
 // needsKey reports whether a request is refused unless it has a valid key.
 func (t *Table) needsKey(r *http.Request) bool {
 	if t.workspaces == nil {
