peer: a common suspension does not make all hosts poll

After all hosts were suspended at once, the newest proof was overdue on each of them, and all became fallback nodes for 5 s. A fallback node now polls for an overdue proof only if that has also lasted, by the monotonic clock and since the last suspension, for the spread and one proof exchange (a poll and the transit of its proof, 0.25 x revoke). The time counts from one proof exchange before the proof is overdue, so that other fallback polls are as early as before.

testdata/proofs/pauses now bounds the polls after the suspension of all 24 hosts: 658 in 6 s before, 12 now. In that step proofs get older than 0.4 x revoke and stay below 0.6, since only the polling nodes poll. In testdata/proofs/store the share of refusing hosts is 0.29 instead of 0.28 after the loss of the store and 0.05 instead of 0.07 after its return: overdueSince is set at a tick, which shifts the fallback polls by up to 100 ms.

--- a/briarrockd/peer/proofs.go
+++ b/briarrockd/peer/proofs.go
@@ -20,6 +20,8 @@
 	// than it gets while any node polls and links are fast. Polls of fallback nodes then
 	// keep it below 0.6.
 	overdueShare = 0.55
+	// proofTransitShare is the share of Config.Revoke in which a proof crosses the tree.
+	proofTransitShare = 0.05
 	// suspensionThreshold is the difference of the boot clock and the monotonic clock
 	// over one tick above which the host was suspended.
 	suspensionThreshold = 100 * time.Millisecond
@@ -38,6 +40,9 @@
 	proven, logged bool
 	// reported is the newest version that this node's own polls have found.
 	reported uint64
+	// overdueSince is since when, by the monotonic clock, the newest proof has been older
+	// than proofOverdue allows minus a proof exchange; zero if it isn't.
+	overdueSince time.Time
 	// tickedAt and tickClock are the two clocks at the last tick.
 	tickedAt  time.Time
 	tickClock time.Duration
@@ -59,13 +64,44 @@
 // proofOverdue reports whether the newest proof is older than it gets while any node
 // polls, by more than spread. Poll notices may still arrive then: a polling node sends
 // them while its own poll is unanswered.
+//
+// The age alone doesn't show that no node polls: after all hosts were suspended at once it
+// is too great on each of them. The proof must therefore also have been overdue for the
+// time of a proof exchange while the host was running.
 func (c *Core) proofOverdue(spread time.Duration) bool {
-	if !c.proofs.enabled {
+	s := &c.proofs
+	if !s.enabled || s.overdueSince.IsZero() || c.suspension() > suspensionThreshold {
 		return false
 	}
+	return c.proofAge() > c.overdueAge()+spread && c.now.Sub(s.overdueSince) >= c.proofExchangeTime()+spread
+}
+
+// trackOverdue updates overdueSince. It starts a proof exchange before the proof is overdue,
+// so that the condition on it delays no poll of a host that was not suspended.
+func (c *Core) trackOverdue() {
+	s := &c.proofs
+	switch {
+	case !s.enabled || c.proofAge() <= c.overdueAge()-c.proofExchangeTime():
+		s.overdueSince = time.Time{}
+	case s.overdueSince.IsZero() || c.suspension() > suspensionThreshold:
+		s.overdueSince = c.now
+	}
+}
+
+func (c *Core) overdueAge() time.Duration {
+	return time.Duration(overdueShare * float64(c.cfg.Revoke))
+}
+
+// proofExchangeTime returns the time in which a node that is in touch gets a new proof: one
+// poll of a polling node and the transit of its proof.
+func (c *Core) proofExchangeTime() time.Duration {
+	return c.cfg.Revoke/pollsPerRevoke + time.Duration(proofTransitShare*float64(c.cfg.Revoke))
+}
+
+// proofAge returns the age of the newest proof.
+func (c *Core) proofAge() time.Duration {
 	p, _ := c.proofs.state.Current()
-	overdue := time.Duration(overdueShare * float64(c.cfg.Revoke))
-	return c.proofs.clock-p.At > overdue+spread
+	return c.proofs.clock - p.At
 }
 
 // addOwnProof adds the proof of this node's own read of the head, which was sent at the
@@ -143,6 +179,7 @@
 	if !c.cfg.Strict {
 		return
 	}
+	c.trackOverdue()
 	c.logSuspension()
 	c.sendProofs()
 	p, known := s.state.Current()
@@ -164,10 +201,17 @@
 
 func (c *Core) logSuspension() {
 	s := &c.proofs
-	if !s.tickedAt.IsZero() {
-		if d := s.clock - s.tickClock - c.now.Sub(s.tickedAt); d > suspensionThreshold {
-			c.log(event.Suspended, event.Fields{"for": d.Milliseconds()})
-		}
+	if d := c.suspension(); d > suspensionThreshold {
+		c.log(event.Suspended, event.Fields{"for": d.Milliseconds()})
 	}
 	s.tickedAt, s.tickClock = c.now, s.clock
 }
+
+// suspension returns for how long the host has been suspended since the last tick.
+func (c *Core) suspension() time.Duration {
+	s := &c.proofs
+	if s.tickedAt.IsZero() {
+		return 0
+	}
+	return s.clock - s.tickClock - c.now.Sub(s.tickedAt)
+}
--- a/briarrockd/peer/proofs_test.go
+++ b/briarrockd/peer/proofs_test.go
@@ -136,13 +136,17 @@
 
 // command runs one command for the seconds given by "for". It returns how long hosts
 // refused keys in that time, as a share, whether one accepted a key too late, and, as a
-// share of revoke in steps of 0.2, how old a proof got.
+// share of revoke in steps of 0.2, how old a proof got. With "most", it returns the number
+// of polls of the store if it is above that.
 func (m *proofMesh) command(t *testing.T, d *datadriven.TestData) string {
-	var seconds int
+	var seconds, maxPolls int
 	hostName := ""
 	if d.HasArg("for") {
 		d.ScanArgs(t, "for", &seconds)
 	}
+	if d.HasArg("most") {
+		d.ScanArgs(t, "most", &maxPolls)
+	}
 	if d.HasArg("host") {
 		d.ScanArgs(t, "host", &hostName)
 	}
@@ -152,7 +156,7 @@
 			hosts = append(hosts, h)
 		}
 	}
-	m.late, m.unproven, m.checks, m.oldest, m.frames = 0, 0, 0, 0, 0
+	m.late, m.unproven, m.checks, m.oldest, m.frames, m.polls = 0, 0, 0, 0, 0, 0
 	for _, h := range hosts {
 		switch d.Cmd {
 		case "cut-store":
@@ -197,6 +201,9 @@
 			break
 		}
 	}
+	if d.HasArg("most") && m.polls > maxPolls {
+		out += fmt.Sprintf(", %d polls", m.polls)
+	}
 	if m.late > 0 {
 		out += ", KEY ACCEPTED LATE"
 	}
