target: a full queue makes room by the call that was queued last

Of a workspace's calls with equal due times, evictOfWorkspace refused the one that was queued first: before(a, b) expects the later call as a.

TestWorkspaceEvictionOrder failed before.

--- a/briarrockd/target/share.go
+++ b/briarrockd/target/share.go
@@ -221,7 +221,7 @@
 	last := -1
 	for i := range g.queue {
 		w := &g.queue[i]
-		if w.Priority == a.Priority && w.workspace() == name && (last < 0 || g.before(&g.queue[last], w)) {
+		if w.Priority == a.Priority && w.workspace() == name && (last < 0 || !g.before(w, &g.queue[last])) {
 			last = i
 		}
 	}
--- a/briarrockd/target/workspace_test.go
+++ b/briarrockd/target/workspace_test.go
@@ -147,6 +147,19 @@
 	c.Check(s.log[5:], qt.DeepEquals, []string{"w2", "w3", "w1", "w2"})
 }
 
+// TestWorkspaceEvictionOrder checks that of a workspace's calls with equal due times the one
+// that was queued last makes room.
+func TestWorkspaceEvictionOrder(t *testing.T) {
+	c := qt.New(t)
+	s := newGateScript()
+	s.arrive("w1", "w1", "w1", "w1", "w1", "w2")
+	first := s.last - 5 // the one that runs
+	c.Check(s.log, qt.DeepEquals, []string{"w1", "w1 full"})
+	for i := range s.g.queue {
+		c.Check(s.g.queue[i].ID, qt.Not(qt.Equals), first+4)
+	}
+}
+
 // TestWithoutWorkspace checks calls that have no workspace beside those of workspaces: they
 // share one place in the order, so that they don't starve, and their order among each other and
 // the limit of a caller's share are as in a gate without workspaces.
