peer: without any proof, overdue counts from the first version with workspaces

A node without any proof took the boot clock's reading for its age and so was overdue at once. It now counts from the time at which proofs were enabled.

--- a/briarrockd/peer/proofs.go
+++ b/briarrockd/peer/proofs.go
@@ -33,8 +33,9 @@
 	clock time.Duration
 	state proof.State
 	// enabled is set while the version in use has workspaces. Otherwise no request has
-	// a key, and nothing is sent.
-	enabled bool
+	// a key, and nothing is sent. enabledAt is the boot time since when it is set.
+	enabled   bool
+	enabledAt time.Duration
 	// proven is whether the newest proof was valid at the last tick, and logged is set
 	// once that has been logged.
 	proven, logged bool
@@ -98,10 +99,12 @@
 	return c.cfg.Revoke/pollsPerRevoke + time.Duration(proofTransitShare*float64(c.cfg.Revoke))
 }
 
-// proofAge returns the age of the newest proof.
+// proofAge returns the age of the newest proof, or for how long proofs have been enabled if
+// that is shorter.
 func (c *Core) proofAge() time.Duration {
-	p, _ := c.proofs.state.Current()
-	return c.proofs.clock - p.At
+	s := &c.proofs
+	p, _ := s.state.Current()
+	return s.clock - max(p.At, s.enabledAt)
 }
 
 // addOwnProof adds the proof of this node's own read of the head, which was sent at the
@@ -120,7 +123,11 @@
 	if !c.cfg.Strict {
 		return
 	}
-	c.proofs.enabled = len(s.Workspaces) > 0
+	enabled := len(s.Workspaces) > 0
+	if enabled && !c.proofs.enabled {
+		c.proofs.enabledAt = c.proofs.clock
+	}
+	c.proofs.enabled = enabled
 	if c.proofs.state.Use(version) {
 		c.publishProof()
 		return
--- a/briarrockd/peer/proofs_test.go
+++ b/briarrockd/peer/proofs_test.go
@@ -284,6 +284,34 @@
 	c.Check(core.proofs.reported, qt.Not(qt.Equals), uint64(2))
 }
 
+// TestOverdueWithoutProof checks from when a node without any proof counts as overdue. The
+// boot clock may be high when the first version with workspaces arrives: counted from its
+// zero, the proof would be overdue at once.
+func TestOverdueWithoutProof(t *testing.T) {
+	c := qt.New(t)
+	now, boot := time.Unix(1000, 0), time.Hour
+	core := New(Config{Self: member("a"), DelegatePolling: true, Strict: true, Revoke: revoke}, rand.New(rand.NewPCG(1, 1)), now)
+	tick := func() {
+		now, boot = now.Add(TickInterval), boot+TickInterval
+		core.SetBootTime(boot)
+		core.Step(now, Tick{})
+	}
+	for n, encode := range []func(c *qt.C, n int) ([]byte, snapshot.Hash){encodeSample, encodeKeys} {
+		for range 50 {
+			tick()
+		}
+		c.Check(core.proofOverdue(0), qt.IsFalse)
+		b, hash := encode(c, n+1)
+		core.Step(now, Committed{Version: uint64(n + 1), Hash: hash, Content: b, Cursor: 10, At: now})
+	}
+	enabledAt := boot
+	for !core.proofOverdue(0) {
+		tick()
+		c.Assert(boot-enabledAt < revoke, qt.IsTrue)
+	}
+	c.Check(boot-enabledAt >= core.overdueAge(), qt.IsTrue, qt.Commentf("overdue after %v", boot-enabledAt))
+}
+
 // TestStrictPollWait checks that only a strict node polls more often.
 func TestStrictPollWait(t *testing.T) {
 	c := qt.New(t)
