peer: each simulated host has its own boot clock

The boot clocks of all hosts of the simulated mesh were equal, so that a frame's times taken for the receiver's own would have passed. Each host now has its own origin, and a rate that is the true one or 0.1 % more or less.

--- a/briarrockd/peer/simmesh_test.go
+++ b/briarrockd/peer/simmesh_test.go
@@ -60,7 +60,11 @@
 	leaving       bool
 	// suspended is the time for which the host's monotonic clock has stood still.
 	suspended time.Duration
-	storeCut  bool // can't reach the store
+	// bootOrigin is the host's boot clock at simEpoch. Its rate differs from the true one by
+	// bootPPM parts per million.
+	bootOrigin time.Duration
+	bootPPM    int64
+	storeCut   bool // can't reach the store
 }
 
 // simLink is an open link between two hosts.
@@ -119,6 +123,13 @@
 	interRegionDelay = 20 * time.Millisecond
 )
 
+// The boot clocks of any two hosts differ by a multiple of bootOriginStep, which is far more
+// than the age of any proof, and their rates are the true one and up to 0.1 % more or less.
+const (
+	bootOriginStep = 17 * time.Minute
+	maxBootPPM     = 1000
+)
+
 func newSimMesh(seed uint64, places []Member, perDomain int) *simMesh {
 	sim := &simMesh{
 		rng:      rand.New(rand.NewPCG(seed, 7)),
@@ -146,7 +157,8 @@
 			for _, q := range places {
 				cfg.Contacts = append(cfg.Contacts, q.Domain+"-0:peer", q.Domain+"-1:peer")
 			}
-			h := &simHost{cfg: cfg}
+			n := len(sim.nodes)
+			h := &simHost{cfg: cfg, bootOrigin: time.Duration(n+1) * bootOriginStep, bootPPM: maxBootPPM * int64(n%3-1)}
 			sim.nodes = append(sim.nodes, h)
 			sim.byAddr[cfg.Self.PeerAddr] = h
 		}
@@ -198,7 +210,10 @@
 // now returns the host's monotonic time, and bootTime its boot clock.
 func (h *simHost) now() time.Time { return time.Now().Add(-h.suspended) }
 
-func (h *simHost) bootTime() time.Duration { return time.Since(simEpoch) + time.Hour }
+func (h *simHost) bootTime() time.Duration {
+	elapsed := time.Since(simEpoch)
+	return h.bootOrigin + elapsed + elapsed*time.Duration(h.bootPPM)/1e6
+}
 
 // simEpoch is the time at which the clock of a synctest bubble starts.
 var simEpoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
