peer: TestProofCost bounds the polls of the store

It only logged them. They must stay in proportion to the failure domains: at most those of one polling node for each. With two polling nodes in each domain the test fails.

--- a/briarrockd/peer/proofs_test.go
+++ b/briarrockd/peer/proofs_test.go
@@ -412,6 +412,10 @@
 	}
 }
 
+// maxPollsPerDomain bounds the polls of the store in a second, per failure domain: those of
+// one polling node of a strict mesh.
+const maxPollsPerDomain = pollsPerRevoke * int(time.Second) / int(revoke)
+
 // TestProofCost guards against proofs that age at hosts in touch, and against a load
 // that grows faster than the number of hosts: a version every two seconds at 60 hosts in
 // four domains, two of them far from the store. PROOF_HOSTS=300 adds 300 hosts, which
@@ -440,6 +444,7 @@
 				m.c.Check(m.unproven, qt.Equals, 0)
 				m.c.Check(m.oldest < revoke*6/10, qt.IsTrue)
 				m.c.Check(perHost < 500, qt.IsTrue)
+				m.c.Check(m.polls <= maxPollsPerDomain*len(places)*seconds, qt.IsTrue, qt.Commentf("%d polls", m.polls))
 			})
 		})
 	}
