--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -229,15 +229,39 @@
 	if ms, err := strconv.ParseInt(r.Header.Get(target.HeaderDeadline), 10, 64); err == nil {
 		timeLeft = time.Duration(ms) * time.Millisecond
 	}
-	p.startup.wait(r.Context(), timeLeft, func() bool {
-		t := p.table.Load()
-		return t != nil && (t.canServe(r) || t.refusesKey(r, key))
-	})
+	p.startup.wait(r.Context(), timeLeft, func() bool { return p.canDecide(r, key) })
+}
+
+// canDecide reports whether a call at a node that has just started needs to wait no longer:
+// it can be served, or no other table would make a difference. A call with a key waits for
+// the proof of the version too, which arrives shortly after it. It waits also if the key is
+// unknown: the first table, a peer's, may be behind and lack a new key.
+func (p *Proxy) canDecide(r *http.Request, key callerKey) bool {
+	proven := p.proven(key)
+	t := p.table.Load()
+	switch {
+	case t == nil:
+		return false
+	case t.needsKey(r):
+		return key.state != keyPresent || (proven && t.canServe(r))
+	default:
+		return t.canServe(r)
+	}
+}
+
+// NotifyProof wakes the calls that wait at a node that has just started, because Deps.Proven
+// may have changed.
+func (p *Proxy) NotifyProof() {
+	if !p.startup.finished() {
+		p.startup.notify()
+	}
 }
 
 // admit finds the route of a request and makes all checks that are possible before
 // anything is sent.
 func (p *Proxy) admit(r *http.Request, key callerKey, now time.Time) (*call, refusal) {
+	// A table that is loaded before the proof may be older than the version that it proves.
+	proven := p.proven(key)
 	c := &call{r: r, trace: traceID(r), startedAt: now, table: p.table.Load()}
 	if p.draining.Load() {
 		return c, refusal{kind: kind.Drain}
@@ -249,7 +273,7 @@
 		return c, refusal{kind: k}
 	}
 	c.upstreams = c.table.upstreams[c.service.Name]
-	if ref := p.identify(c, key); ref.kind != kind.None {
+	if ref := p.identify(c, key, proven); ref.kind != kind.None {
 		return c, ref
 	}
 	p.promoteNested(c)
--- a/briarrockd/caller/workspace.go
+++ b/briarrockd/caller/workspace.go
@@ -81,14 +81,11 @@
 	return nil, keyUnknown
 }
 
-// refusesKey reports whether a request is refused for its key whatever targets there are.
-func (t *Table) refusesKey(r *http.Request, k callerKey) bool {
+// needsKey reports whether a request is refused unless it has a valid key.
+func (t *Table) needsKey(r *http.Request) bool {
 	if t.workspaces == nil {
 		return false
 	}
-	if w, _ := t.workspace(k); w != nil {
-		return false
-	}
 	if e, _ := t.entry(hostName(r.Host), r.URL.Path); e != nil {
 		return !e.Route.Open
 	}
@@ -100,21 +97,27 @@
 	return ok && !route.Open
 }
 
+// proven reports whether the table that is loaded next is recent enough for a call with the
+// given key.
+func (p *Proxy) proven(k callerKey) bool {
+	return k.state != keyPresent || p.deps.Proven == nil || p.deps.Proven()
+}
+
 // identify finds the call's workspace by the caller's key. It refuses a call without one on
-// a route that is not open. While the version in use may be out of date, it refuses all
-// calls that depend on a key: the key may have been taken away, or an unknown one added.
-func (p *Proxy) identify(c *call, k callerKey) refusal {
+// a route that is not open. Unless the version in use is proven, it refuses all calls there
+// that have a key: the key may have been taken away, or an unknown one added. On an open
+// route they run without a workspace.
+func (p *Proxy) identify(c *call, k callerKey, proven bool) refusal {
 	if c.table.workspaces == nil {
 		return refusal{}
 	}
 	w, state := c.table.workspace(k)
-	if w == nil && c.route.Open {
+	switch {
+	case c.route.Open && (w == nil || !proven):
 		return refusal{}
-	}
-	if k.state == keyPresent && p.deps.Proven != nil && !p.deps.Proven() {
+	case !proven:
 		return p.refuseKey(c, keyUnproven, refusal{kind: kind.Unproven, retryAfter: jitter(unprovenRetryAfter)})
-	}
-	if w == nil {
+	case w == nil:
 		return p.refuseKey(c, state, refusal{kind: kind.Workspace})
 	}
 	c.workspace = w
