--- a/briarrockd/caller/chain_hosts_test.go
+++ b/briarrockd/caller/chain_hosts_test.go
@@ -22,10 +22,10 @@
 	"briarrock.example/mesh/snapshot"
 )
 
-func chainRouteByName(name string) *chainRoute {
-	for i := range chainRoutes {
-		if chainRoutes[i].name == name {
-			return &chainRoutes[i]
+func (m *chainModel) route(name string) *chainRoute {
+	for i := range m.routes {
+		if m.routes[i].name == name {
+			return &m.routes[i]
 		}
 	}
 	return nil
@@ -36,6 +36,7 @@
 	ch       *chain
 	name     string
 	service  string
+	domain   int
 	region   string
 	slowdown float64
 	proxy    *Proxy
@@ -56,7 +57,7 @@
 		WrapTransport: func(http.RoundTripper) http.RoundTripper { return chainTarget{h} },
 	})
 	h.targets.Configure(s)
-	h.targets.HandleAnnouncement(target.Announcement{Service: h.service, Addr: "127.0.0.1:1", Slots: chainSlots, Connections: 500, State: target.StateUp})
+	h.targets.HandleAnnouncement(target.Announcement{Service: h.service, Addr: "127.0.0.1:1", Slots: h.ch.slots, Connections: 500, State: target.StateUp})
 	h.proxy = New(Deps{
 		Balancer: NewBalancer(self.Domain, self.Region, seed), Budget: NewBudget(), Transport: chainNet{h}, Scheme: "http",
 		CrashCount: func(uint64) int { return 0 }, IsRunning: h.targets.IsRunning,
@@ -134,13 +135,16 @@
 	}
 	var shedRate float64
 	x.h.locked(func() { shedRate = x.h.shedRate })
+	if x.h.ch.uneven != nil {
+		x.h.ch.uneven.arrived(x.h)
+	}
 	if shedRate > 0 && x.h.ch.float() < shedRate {
 		if !sleep(req.Context(), chainNearDelay) {
 			return nil, req.Context().Err()
 		}
 		return newResponse(req, http.StatusServiceUnavailable, kind.RanNo), nil
 	}
-	r := chainRouteByName(strings.Trim(req.URL.Path, "/"))
+	r := x.h.ch.route(strings.Trim(req.URL.Path, "/"))
 	x.h.addRunning(1)
 	began := time.Now()
 	ok := x.h.process(req.Context(), r, req.Header.Get(target.HeaderTrace))
@@ -158,7 +162,7 @@
 func (h *chainHost) addRunning(n int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.running += n; n > 0 && h.running > chainSlots {
+	if h.running += n; n > 0 && h.running > h.ch.slots {
 		h.ch.mu.Lock()
 		h.ch.overSlots++
 		h.ch.mu.Unlock()
@@ -181,6 +185,9 @@
 // calls of its own. It returns false if one of them fails or the context ends.
 func (h *chainHost) process(ctx context.Context, r *chainRoute, trace string) bool {
 	work := time.Duration(float64(r.work) * h.slowdown * math.Exp(r.spread*h.ch.norm()-r.spread*r.spread/2))
+	if h.ch.uneven != nil {
+		work = time.Duration(float64(work) * h.ch.uneven.slowdown(h))
+	}
 	if !sleep(ctx, work/2) {
 		return false
 	}
@@ -188,7 +195,13 @@
 		results := make(chan bool, r.callCount)
 		for range r.callCount {
 			go func() {
-				results <- h.send(ctx, chainRouteByName(r.calls), trace+"."+h.ch.id(), chainRouteByName(r.calls).timeout).Code == http.StatusOK
+				next := h.ch.route(r.calls)
+				began := time.Now()
+				w := h.send(ctx, next, trace+"."+h.ch.id(), next.timeout)
+				if h.ch.uneven != nil {
+					h.ch.uneven.recordNested(next, w, time.Since(began))
+				}
+				results <- w.Code == http.StatusOK
 			}()
 		}
 		ok := true
--- a/briarrockd/caller/chain_test.go
+++ b/briarrockd/caller/chain_test.go
@@ -66,13 +66,26 @@
 	{name: "probe", service: "archive", priority: 8, work: 55 * time.Millisecond, spread: 0.5, aim: 200 * time.Millisecond, deadline: 600 * time.Millisecond, timeout: 600 * time.Millisecond},
 }
 
-// chainServices are the services. weight is a service's share of the hosts, relative to
-// the other services. slowdowns are factors on the work of its targets, assigned in turn.
-var chainServices = []struct {
+// chainService is one service. weight is its share of the hosts, relative to the other
+// services. slowdowns are factors on the work of its targets, assigned in turn.
+type chainService struct {
 	name      string
 	weight    int
 	slowdowns []float64
-}{
+}
+
+// chainModel is the services of a simulation, the slots of their targets, and the
+// requests. The load is relative to the slots of the service bottleneck.
+type chainModel struct {
+	routes     []chainRoute
+	services   []chainService
+	slots      int
+	bottleneck string
+}
+
+var shiftedModel = &chainModel{chainRoutes, chainServices, chainSlots, chainBottleneck}
+
+var chainServices = []chainService{
 	{"ledger", 19, []float64{0.7, 0.7, 1.6}},
 	{"posting", 29, []float64{0.5, 1, 1, 1.5}},
 	{"intake", 6, []float64{0.6, 1, 1.4}},
@@ -107,10 +120,13 @@
 
 // chain is one simulation.
 type chain struct {
-	mu        sync.Mutex
-	rng       *rand.Rand
-	hosts     map[string]*chainHost
-	list      []*chainHost
+	*chainModel
+	mu    sync.Mutex
+	rng   *rand.Rand
+	hosts map[string]*chainHost
+	list  []*chainHost
+	// uneven is set for a simulation of uneven load, and nil otherwise.
+	uneven    *uneven
 	stats     chainStats
 	recording bool
 	overSlots int // runs in excess of a target's slots
@@ -138,28 +154,28 @@
 }
 
 // newChain starts the nodes and targets of a mesh with about this many hosts.
-func newChain(hosts int) *chain {
-	ch := &chain{rng: rand.New(rand.NewPCG(1, 2)), hosts: make(map[string]*chainHost)}
+func newChain(m *chainModel, hosts int) *chain {
+	ch := &chain{chainModel: m, rng: rand.New(rand.NewPCG(1, 2)), hosts: make(map[string]*chainHost)}
 	s := &snapshot.Snapshot{Mesh: "chain"}
 	var members []peer.Member
 	total := 0
-	for _, sv := range chainServices {
+	for _, sv := range m.services {
 		total += sv.weight
 	}
-	for _, sv := range chainServices {
-		s.Services = append(s.Services, snapshot.Service{Name: sv.name, Slots: chainSlots, Conns: 500, Queue: snapshot.QueueBySlots})
+	for _, sv := range m.services {
+		s.Services = append(s.Services, snapshot.Service{Name: sv.name, Slots: m.slots, Conns: 500, Queue: snapshot.QueueBySlots})
 		for i := range max(chainDomains, (sv.weight*hosts+total/2)/total) {
 			d := i % chainDomains
-			h := &chainHost{ch: ch, name: fmt.Sprintf("%s-%02d", sv.name, i), service: sv.name, region: fmt.Sprint("r", d%2), slowdown: sv.slowdowns[(i/chainDomains+i)%len(sv.slowdowns)]}
+			h := &chainHost{ch: ch, name: fmt.Sprintf("%s-%02d", sv.name, i), service: sv.name, domain: d, region: fmt.Sprint("r", d%2), slowdown: sv.slowdowns[(i/chainDomains+i)%len(sv.slowdowns)]}
 			ch.hosts[h.name] = h
 			ch.list = append(ch.list, h)
 			members = append(members, peer.Member{
 				Host: h.name, Domain: fmt.Sprint("d", d), Region: h.region, PeerAddr: h.name, CallAddr: h.name + ":1",
-				Targets: []peer.Target{{Service: sv.name, Slots: chainSlots}},
+				Targets: []peer.Target{{Service: sv.name, Slots: m.slots}},
 			})
 		}
 	}
-	for _, r := range chainRoutes {
+	for _, r := range m.routes {
 		retries := 2
 		s.Entries = append(s.Entries, snapshot.Entry{
 			Name: r.name, Host: "chain.example", Destinations: []snapshot.Destination{{Service: r.service, Weight: 1}},
@@ -213,6 +229,9 @@
 	if !ch.recording {
 		return
 	}
+	if ch.uneven != nil {
+		ch.uneven.record(r, code, took)
+	}
 	t := &ch.stats
 	t.calls++
 	if retried {
@@ -241,24 +260,24 @@
 func (ch *chain) requestRate(load float64) float64 {
 	slots := 0.0
 	for _, h := range ch.list {
-		if h.service == chainBottleneck {
-			slots += chainSlots / h.slowdown
+		if h.service == ch.bottleneck {
+			slots += float64(ch.slots) / h.slowdown
 		}
 	}
 	need := 0.0 // slot time of a request at a target with slowdown 1
-	for _, r := range chainRoutes {
-		if r.service == chainBottleneck {
+	for _, r := range ch.routes {
+		if r.service == ch.bottleneck {
 			need += r.rate * r.work.Seconds()
 		}
 		if r.calls == "" {
 			continue
 		}
-		next := chainRouteByName(r.calls)
+		next := ch.route(r.calls)
 		calls := r.rate * r.callShare * next.work.Seconds()
-		if next.service == chainBottleneck {
+		if next.service == ch.bottleneck {
 			need += calls * float64(r.callCount)
 		}
-		if r.service == chainBottleneck {
+		if r.service == ch.bottleneck {
 			need += calls // while the outer request waits for them
 		}
 	}
@@ -272,11 +291,14 @@
 		ch.mu.Lock()
 		pause := time.Duration(ch.rng.ExpFloat64() * gap)
 		x, h := ch.rng.Float64(), ch.list[ch.rng.IntN(len(ch.list))]
+		if ch.uneven != nil {
+			h = ch.uneven.entry(ch)
+		}
 		ch.mu.Unlock()
 		time.Sleep(pause)
-		for i := range chainRoutes {
-			if x -= chainRoutes[i].rate; x < 0 {
-				ch.wg.Go(func() { ch.callWithRetry(h, &chainRoutes[i]) })
+		for i := range ch.routes {
+			if x -= ch.routes[i].rate; x < 0 {
+				ch.wg.Go(func() { ch.callWithRetry(h, &ch.routes[i]) })
 				break
 			}
 		}
@@ -318,7 +340,7 @@
 // runChain simulates a mesh at normal load, then with a fault, then at normal load again.
 func runChain(t *testing.T, fault string, hosts int, load float64) (before, during, after chainStats, overSlots int) {
 	synctest.Test(t, func(*testing.T) {
-		ch := newChain(hosts)
+		ch := newChain(shiftedModel, hosts)
 		defer ch.close()
 		ch.generateLoad(chainNormalLoad, time.Second)
 		before = ch.measure(1, chainBeforeDuration)
