caller: give nested calls the retries that the shared budget allows

A nested call that a target sheds needs a token of the retry budget. With 85 nodes each one saved at most one token and earned 0.1 a call, and retries of other calls took tokens first, while the limit of all nodes is 0.2 repeats a request.

Where the nodes share one budget, a call that reached a target now adds up to 0.16, and a node saves tokens by its own requests in the last 10 s. TestSharedBudget checks the limit in each 10 s; on 300 nodes with less than one request a second each, the one token that each node may save can still exceed it, as before.

--- a/briarrockd/caller/attempts.go
+++ b/briarrockd/caller/attempts.go
@@ -114,7 +114,9 @@
 func (x *attempts) handleResult(a *attempt) bool {
 	c := x.c
 	if a.reachedTarget {
-		x.reachedTarget++
+		if x.reachedTarget++; x.reachedTarget == 1 {
+			x.p.deps.Budget.addReached(time.Now(), c.service.Name)
+		}
 	} else {
 		x.reroutes++
 	}
@@ -214,7 +216,12 @@
 func (x *attempts) belowRunLimit() bool { return x.reachedTarget+x.inFlight <= x.c.route.Retries }
 
 // takeRetryToken takes one retry from the service's budget; false if none is left.
-func (x *attempts) takeRetryToken() bool { return x.p.deps.Budget.takeRetry(x.c.service.Name) }
+func (x *attempts) takeRetryToken() bool {
+	if x.c.nested {
+		return x.p.deps.Budget.takeNested(x.c.service.Name)
+	}
+	return x.p.deps.Budget.takeRetry(x.c.service.Name)
+}
 
 // combinedRan returns whether a call ran, given the value of its last attempt: a call did
 // not run only if it ran in none of its attempts.
--- a/briarrockd/caller/budget.go
+++ b/briarrockd/caller/budget.go
@@ -1,6 +1,9 @@
 package caller
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 const (
 	// tokensPerCall is what each call adds to the retry budget of its service. A retry
@@ -13,63 +16,160 @@
 	maxServices = 8192
 )
 
+// Where the nodes share one budget, the repeats of a service in any sharedWindow are at
+// most maxRepeatShare of its requests plus a fixed number. What a node saves and what its
+// calls add follow its own requests, so that the sum over the nodes keeps the limit.
+const (
+	sharedWindow   = 10 * time.Second
+	maxRepeatShare = 0.2
+	// maxSharedTokensPerCall is the most that a call which reached a target adds. The
+	// rest of maxRepeatShare allows for saved tokens. Calls that no target got don't
+	// count as requests.
+	maxSharedTokensPerCall = 0.16
+	// savedShare is the part of that rest which a node uses. The other part is a margin
+	// for requests that become fewer within the window.
+	savedShare = 0.5
+	// reservedCalls is for how many calls no optional retry is allowed after a nested
+	// call found no token.
+	reservedCalls = 20
+)
+
 // Budget is the retry budget of each service: it limits retries to a share of the calls.
-// While a whole service is down the attempts at it stay within 1.1 times the calls. More
-// retries would not help then, and would overload the service again when it recovers.
+// While a whole service is down the attempts at it stay within 1.1 times the calls, or 1.2
+// times where the nodes share one budget. More retries would not help then, and would
+// overload the service again when it recovers.
 type Budget struct {
-	mu        sync.Mutex
-	tokens    map[string]float64
-	maxTokens float64
+	mu       sync.Mutex
+	services map[string]*serviceBudget
+	// shared is set once the budget is a part of that of all nodes, and nodeTokens is
+	// then this node's part of the fixed number of repeats.
+	shared     bool
+	nodeTokens float64
+}
+
+// serviceBudget is the retry budget of one service.
+type serviceBudget struct {
+	tokens, maxTokens float64
+	// windowStart is when the current window started. current and previous count the
+	// calls that reached a target in it and in the one before.
+	windowStart       time.Time
+	current, previous float64
+	// reserved counts down the calls for which the tokens are reserved for nested calls.
+	reserved int
 }
 
 // NewBudget returns a budget that allows each service one retry at the start.
-func NewBudget() *Budget { return &Budget{tokens: make(map[string]float64), maxTokens: maxTokens} }
+func NewBudget() *Budget { return &Budget{services: make(map[string]*serviceBudget)} }
 
 // SetNodeShare limits the saved tokens to this node's part of meshTokens, the most that
-// all nodes of the mesh may save in total. So all nodes together stay within meshTokens,
-// even if they spend their budgets at once.
+// all nodes of the mesh may save in total, and to a part of its requests. So all nodes
+// together stay within the limit, even if they spend their budgets at once.
 func (b *Budget) SetNodeShare(meshTokens float64, nodes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.maxTokens = min(maxTokens, max(1, meshTokens/float64(max(nodes, 1))))
+	b.shared, b.nodeTokens = true, meshTokens/float64(max(nodes, 1))
 }
 
-// addCall adds the tokens for a call's first attempt.
+// service returns the budget of a service.
+func (b *Budget) service(name string) *serviceBudget {
+	s := b.services[name]
+	if s == nil {
+		if len(b.services) >= maxServices {
+			clear(b.services)
+		}
+		s = &serviceBudget{tokens: 1, maxTokens: maxTokens}
+		if b.shared {
+			s.maxTokens = min(maxTokens, max(1, b.nodeTokens))
+		}
+		b.services[name] = s
+	}
+	return s
+}
+
+// addCall adds the tokens for a call, unless the budget is shared.
 func (b *Budget) addCall(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	tokens, ok := b.tokens[service]
-	if !ok {
-		if len(b.tokens) >= maxServices {
-			clear(b.tokens)
+	if s := b.service(service); !b.shared {
+		s.add(tokensPerCall)
+	}
+}
+
+// addReached adds the tokens for a call that reached a target, if the budget is shared.
+func (b *Budget) addReached(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.shared {
+		return
+	}
+	s := b.service(service)
+	calls := s.observeCall(now)
+	perCall := min(maxSharedTokensPerCall, max(tokensPerCall, maxRepeatShare-max(0, 1-b.nodeTokens)/calls))
+	s.maxTokens = min(maxTokens, max(1, b.nodeTokens+savedShare*(maxRepeatShare-perCall)*calls))
+	s.add(perCall)
+}
+
+// observeCall counts a call, and returns the number of calls within sharedWindow.
+func (s *serviceBudget) observeCall(now time.Time) float64 {
+	age := now.Sub(s.windowStart)
+	if age >= sharedWindow {
+		s.previous, s.current = s.current, 0
+		if age >= 2*sharedWindow {
+			s.previous = 0
 		}
-		tokens = 1
+		s.windowStart, age = now, 0
+	}
+	s.current++
+	return s.current + s.previous*(1-age.Seconds()/sharedWindow.Seconds())
+}
+
+func (s *serviceBudget) add(n float64) {
+	s.tokens = min(s.maxTokens, s.tokens+n)
+	if s.reserved > 0 {
+		s.reserved--
 	}
-	b.tokens[service] = min(b.maxTokens, tokens+tokensPerCall)
 }
 
 // takeRetry takes one retry from the budget; false if there is none.
-func (b *Budget) takeRetry(service string) bool { return b.take(service, 1) }
+func (b *Budget) takeRetry(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.services[service].take(1)
+}
+
+// takeNested takes one retry for a nested call from the budget. If there is none it
+// returns false, and the next tokens are reserved for nested calls.
+func (b *Budget) takeNested(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[service]
+	if s.take(1) {
+		return true
+	}
+	if s != nil {
+		s.reserved = reservedCalls
+	}
+	return false
+}
 
 // maxUsedForOptional is how far below its maximum the budget may be, in tokens, for an
 // optional retry. The rest is reserved for retries of calls that are lost without one.
 const maxUsedForOptional = 0.25
 
 // takeOptional takes one optional retry from the budget; false unless the budget is
-// nearly full.
+// nearly full and no token is reserved for nested calls.
 func (b *Budget) takeOptional(service string) bool {
 	b.mu.Lock()
-	minTokens := b.maxTokens - maxUsedForOptional
-	b.mu.Unlock()
-	return b.take(service, max(1, minTokens))
+	defer b.mu.Unlock()
+	s := b.services[service]
+	return s != nil && s.reserved == 0 && s.take(max(1, s.maxTokens-maxUsedForOptional))
 }
 
-func (b *Budget) take(service string, minTokens float64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.tokens[service] < minTokens {
+// take takes a token if there are at least minTokens.
+func (s *serviceBudget) take(minTokens float64) bool {
+	if s == nil || s.tokens < minTokens {
 		return false
 	}
-	b.tokens[service]--
+	s.tokens--
 	return true
 }
