caller, target: nested calls avoid targets that shed

A target's node reports the share of calls that its target refused in the optional header Briarrock-Shed. Nested calls add it to the cost of an upstream. The load that is reported after a refusal rises by that share and not by a constant, which hid the queues of targets that shed some calls at any load.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -109,6 +109,7 @@
 	if ms, err := strconv.ParseInt(h.Get(target.HeaderMeanDuration), 10, 64); err == nil {
 		f.MeanDuration = time.Duration(ms) * time.Millisecond
 	}
+	f.ShedShare, _ = strconv.ParseFloat(h.Get(target.HeaderShedShare), 64)
 	f.Failed = a.kind == kind.Refused || a.kind == kind.Broken || a.kind == kind.Late
 	f.TargetFailed = a.kind == kind.Shed || a.targetFailed()
 	f.Leaving = a.kind == kind.Drain
--- a/briarrockd/caller/attempts.go
+++ b/briarrockd/caller/attempts.go
@@ -89,7 +89,7 @@
 // startAttempt starts an attempt at an upstream that has not been tried. If there is none
 // it returns false and the reason.
 func (x *attempts) startAttempt(what string) (refusal, bool) {
-	u, ref, ok := x.p.deps.Balancer.pick(time.Now(), x.c.service.Name, x.c.upstreams, x.tried, x.c.route.Priority)
+	u, ref, ok := x.p.deps.Balancer.pickFor(time.Now(), x.c.service.Name, x.c.upstreams, x.tried, x.c.route.Priority, x.c.nested)
 	if !ok {
 		return ref, false
 	}
--- a/briarrockd/caller/balancer.go
+++ b/briarrockd/caller/balancer.go
@@ -39,6 +39,10 @@
 	// another region.
 	failureWeight = 0.1
 	failureCost   = 6.0
+	// nestedShedCost is the cost for a nested call of an upstream whose target refuses all
+	// calls. A refusal takes a retry from the budget, and without one the work of the
+	// outer call is lost.
+	nestedShedCost = 8.0
 	// failureHalfLife is the age at which the failure rate counts half, so that an
 	// upstream that gets no attempts because of it is tried again.
 	failureHalfLife = 2 * time.Second
@@ -110,6 +114,7 @@
 	service string
 	set     []upstream
 	states  []*state // nil for an upstream without recorded state
+	nested  bool     // the pick is for a nested call
 }
 
 func (b *Balancer) view(now time.Time, service string, set []upstream) *view {
@@ -125,9 +130,16 @@
 // If there is none it returns false and the reason. The reason is found under the same
 // lock, because a moment later it could be a different one.
 func (b *Balancer) pick(now time.Time, service string, set []upstream, tried []string, priority snapshot.Priority) (upstream, refusal, bool) {
+	return b.pickFor(now, service, set, tried, priority, false)
+}
+
+// pickFor is pick for a call that may be a nested one. A nested call avoids targets that
+// refuse calls themselves.
+func (b *Balancer) pickFor(now time.Time, service string, set []upstream, tried []string, priority snapshot.Priority, nested bool) (upstream, refusal, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	v := b.view(now, service, set)
+	v.nested = nested
 	best, found := b.best(v, tried, priority)
 	if !found {
 		return upstream{}, v.refusalReason(priority), false
@@ -274,6 +286,9 @@
 	cost := durationRatio*(1+loadCost(s.expectedLoad(v.now, v.set[i].slots))) - 1
 	failureRate := s.decayedFailureRate(v.now)
 	cost += failureCost * failureRate * failureRate
+	if v.nested {
+		cost += nestedShedCost * s.shedShare
+	}
 	if s.stalled(v.now) {
 		cost += stallCost
 	}
--- a/briarrockd/caller/state.go
+++ b/briarrockd/caller/state.go
@@ -27,6 +27,8 @@
 	// MeanDuration is the moving average of how long the target's calls take, as its
 	// node reported; 0 if it reported none.
 	MeanDuration time.Duration
+	// ShedShare is the share of recent calls that the target itself refused.
+	ShedShare float64
 	// Failed is set when no response of the target arrived: its node did not answer, or
 	// reported a failed connection or a missed deadline.
 	Failed bool
@@ -56,6 +58,8 @@
 	// picksSinceReport counts the picks since the load was last reported.
 	picksSinceReport int
 	meanDuration     time.Duration
+	// shedShare is the share of calls that the target itself refuses, reported with load.
+	shedShare float64
 	// stalledSince is the time since which attempts have been in flight without a
 	// response.
 	stalledSince        time.Time
@@ -169,6 +173,7 @@
 	if f.Load >= 0 {
 		s.load = f.Load
 		s.loadAt = now
+		s.shedShare = f.ShedShare
 		s.picksSinceReport = 0
 	}
 	if f.MeanDuration > 0 {
--- a/briarrockd/caller/uneven_test.go
+++ b/briarrockd/caller/uneven_test.go
@@ -223,16 +223,25 @@
 func TestUneven(t *testing.T) {
 	datadriven.RunTest(t, "testdata/uneven", func(t *testing.T, d *datadriven.TestData) string {
 		c := qt.New(t)
-		var hosts, load, shedding, shedRate, minReads int
+		var hosts, load, shedding, shedRate, minReads, maxLost int
 		d.ScanArgs(t, "hosts", &hosts)
 		d.ScanArgs(t, "load", &load)
 		d.ScanArgs(t, "shedding", &shedding)
 		d.ScanArgs(t, "rate", &shedRate)
 		d.ScanArgs(t, "reads", &minReads)
+		d.ScanArgs(t, "lost", &maxLost)
 		t.Logf("%d hosts at %d %%, %d %% of the targets of prints shed %d %%, %s:", hosts, load, shedding, shedRate, d.Cmd)
 		u, _ := runUneven(t, hosts, float64(load)/100, float64(shedding)/100, float64(shedRate)/100, d.Cmd == "equal")
 		reads := u.kinds["tile-read"]
 		c.Check(reads.inAim*100 >= minReads*reads.calls, qt.IsTrue, qt.Commentf("%+v", reads))
+		nested, lost := 0, 0
+		for k, n := range u.nested {
+			nested += n
+			if k != "" {
+				lost += n
+			}
+		}
+		c.Check(lost*100 <= maxLost*nested, qt.IsTrue, qt.Commentf("%d of %d nested calls failed", lost, nested))
 		return "ok\n"
 	})
 }
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -35,6 +35,8 @@
 	now             time.Time
 	// shedAt is when the target last refused a call itself.
 	shedAt time.Time
+	// shedShare is the moving share of calls that the target refused.
+	shedShare movingShare
 }
 
 // minRetryAfter is the least time after a refusal at which a retry is useful. Right after a
@@ -81,23 +83,30 @@
 // that.
 //
 // Refusals are fast, so a target that sheds load would look idle and attract more calls. Its
-// load is therefore raised by shedLoad for shedWindow after a refusal.
+// load is therefore raised by up to shedLoad, by its share of refused calls, for shedWindow after a
+// refusal. A raise by all of shedLoad after a single refusal would hide the queues of targets that
+// refuse some calls at any load.
 func (g *Gate) Load(now time.Time) float64 {
 	load := float64(len(g.running)+len(g.queue)) / float64(g.concurrencyLimit())
 	load = max(load, g.bodies.load(now, g.queuedBytes(nil)), g.pacer.load(now))
 	if !g.shedAt.IsZero() && now.Sub(g.shedAt) < shedWindow {
-		load += shedLoad
+		load += shedLoad * float64(g.shedShare)
 	}
 	return load
 }
 
-// shedLoad is added to the utilization that Load returns, for shedWindow after the target refused a
-// call.
+// shedLoad times the share of refused calls is added to the utilization that Load returns, for
+// shedWindow after the target refused a call.
 const (
 	shedWindow = time.Second
 	shedLoad   = 3
+	// reportedShedWeight is the weight of the newest call in the reported share of refused calls.
+	reportedShedWeight = 0.1
 )
 
+// ShedShare returns the share of recent calls that the target itself refused.
+func (g *Gate) ShedShare() float64 { return float64(g.shedShare) }
+
 // Running returns the number of calls that run.
 func (g *Gate) Running() int { return len(g.running) }
 
@@ -227,6 +236,7 @@
 		return
 	}
 	g.reserve.running[priority]--
+	g.shedShare.observe(m.Shed, reportedShedWeight)
 	if m.Shed {
 		g.shedAt = g.now
 	}
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -33,12 +33,17 @@
 	// HeaderMeanDuration the mean duration of its calls in milliseconds.
 	HeaderLoad         = "Briarrock-Load"
 	HeaderMeanDuration = "Briarrock-Usual"
+	// HeaderShedShare reports the share of recent calls that the target itself refused.
+	HeaderShedShare = "Briarrock-Shed"
 	// HeaderInstance is the ID of the target that the request is for.
 	HeaderInstance = "Briarrock-Instance"
 	// HeaderTrace is the trace ID of a call, the same on every hop.
 	HeaderTrace = "Briarrock-Trace"
 )
 
+// minReportedShedShare is the least share of refused calls that is reported.
+const minReportedShedShare = 0.01
+
 // maxDeadline bounds the time that a deadline header may set.
 const maxDeadline = time.Hour
 
@@ -194,13 +199,16 @@
 // reported to the headers of a response. It returns the load.
 func (x *target) writeLoad(h http.Header) string {
 	x.mu.Lock()
-	load, mean := x.gate.Load(time.Now()), x.gate.MeanDuration()
+	load, mean, shed := x.gate.Load(time.Now()), x.gate.MeanDuration(), x.gate.ShedShare()
 	x.mu.Unlock()
 	text := strconv.FormatFloat(load, 'f', 2, 64)
 	h.Set(HeaderLoad, text)
 	if mean > 0 {
 		h.Set(HeaderMeanDuration, strconv.FormatInt(mean.Milliseconds(), 10))
 	}
+	if shed >= minReportedShedShare {
+		h.Set(HeaderShedShare, strconv.FormatFloat(shed, 'f', 2, 64))
+	}
 	if n, ok := x.notice(); ok {
 		WriteNotices(h, time.Now(), n)
 	}
