caller, target: choose targets by their slowness over all routes

The cost of an upstream used the mean duration of its calls, which varies with the mix of routes that it got. A target's node now reports the mean duration of the call's route in the optional header Briarrock-Route-Usual. The Balancer divides it by the usual duration of the route over all targets, and averages that over all routes. Targets whose nodes report none are compared by their mean durations as before.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -25,6 +25,9 @@
 // body is sent in less time than that round trip takes.
 const expectContinueBytes = 16 << 10
 
+// maxRouteMillis bounds the mean duration of a route that a target's node reports.
+const maxRouteMillis = 3_600_000
+
 // attempt is the result of one attempt to send a call to a target.
 type attempt struct {
 	res        *http.Response
@@ -109,7 +112,12 @@
 	if ms, err := strconv.ParseInt(h.Get(target.HeaderMeanDuration), 10, 64); err == nil {
 		f.MeanDuration = time.Duration(ms) * time.Millisecond
 	}
-	f.ShedShare, _ = strconv.ParseFloat(h.Get(target.HeaderShedShare), 64)
+	if ms, err := strconv.ParseFloat(h.Get(target.HeaderRouteDuration), 64); err == nil && ms > 0 && ms < maxRouteMillis {
+		f.RouteDuration, f.Route = time.Duration(ms*float64(time.Millisecond)), c.routeName()
+	}
+	if share, err := strconv.ParseFloat(h.Get(target.HeaderShedShare), 64); err == nil && share > 0 && share <= 1 {
+		f.ShedShare = share
+	}
 	f.Failed = a.kind == kind.Refused || a.kind == kind.Broken || a.kind == kind.Late
 	f.TargetFailed = a.kind == kind.Shed || a.targetFailed()
 	f.Leaving = a.kind == kind.Drain
--- a/briarrockd/caller/balancer.go
+++ b/briarrockd/caller/balancer.go
@@ -96,6 +96,8 @@
 	// states are by service and host, stateCount is their number.
 	states     map[string]map[string]*state
 	stateCount int
+	// usual is the usual duration of each route's calls in seconds, by service and route.
+	usual map[string]map[string]float64
 }
 
 // NewBalancer returns a Balancer for a node in the given domain and region.
@@ -103,7 +105,7 @@
 	return &Balancer{
 		domain: domain, region: region,
 		rng:    rand.New(rand.NewPCG(seed, 1)),
-		states: make(map[string]map[string]*state),
+		states: make(map[string]map[string]*state), usual: make(map[string]map[string]float64),
 	}
 }
 
@@ -280,7 +282,9 @@
 		return 0
 	}
 	durationRatio := 1.0
-	if medianDuration > 0 && s.meanDuration > 0 {
+	if s.slowness > 0 {
+		durationRatio = s.slowness
+	} else if medianDuration > 0 && s.meanDuration > 0 {
 		durationRatio = float64(s.meanDuration) / float64(medianDuration)
 	}
 	cost := durationRatio*(1+loadCost(s.expectedLoad(v.now, v.set[i].slots))) - 1
@@ -340,6 +344,9 @@
 	s := b.state(service, host)
 	s.inFlight = max(0, s.inFlight-1)
 	s.observeFeedback(now, f)
+	if f.RouteDuration > 0 {
+		s.observeSlowness(b.observeRoute(service, f))
+	}
 	if f.Leaving {
 		s.leavingUntil, s.leavingIncarnation = now.Add(leavingTTL), s.incarnation
 	}
--- a/briarrockd/caller/state.go
+++ b/briarrockd/caller/state.go
@@ -27,6 +27,10 @@
 	// MeanDuration is the moving average of how long the target's calls take, as its
 	// node reported; 0 if it reported none.
 	MeanDuration time.Duration
+	// RouteDuration is the mean duration of the target's calls of the attempt's route, Route;
+	// 0 if its node reported none.
+	RouteDuration time.Duration
+	Route         string
 	// ShedShare is the share of recent calls that the target itself refused.
 	ShedShare float64
 	// Failed is set when no response of the target arrived: its node did not answer, or
@@ -58,6 +62,9 @@
 	// picksSinceReport counts the picks since the load was last reported.
 	picksSinceReport int
 	meanDuration     time.Duration
+	// slowness is the moving average of the durations of the target's calls, each divided
+	// by the usual duration of its route; 0 if unknown.
+	slowness float64
 	// shedShare is the share of calls that the target itself refuses, reported with load.
 	shedShare float64
 	// stalledSince is the time since which attempts have been in flight without a
--- a/briarrockd/target/gate.go
+++ b/briarrockd/target/gate.go
@@ -167,6 +167,14 @@
 	return max(wait, time.Duration(float64(g.overload.refusedShare[a.Priority])*left))
 }
 
+// RouteDuration returns the mean duration of a route's calls; 0 if unknown.
+func (g *Gate) RouteDuration(route string) time.Duration {
+	if r := g.limit.durations.byRoute[route]; r != nil {
+		return r.mean
+	}
+	return 0
+}
+
 // MeanDuration returns the mean duration of the target's calls; 0 before the first has ended.
 func (g *Gate) MeanDuration() time.Duration { return g.limit.durations.mean }
 
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -35,6 +35,9 @@
 	HeaderMeanDuration = "Briarrock-Usual"
 	// HeaderShedShare reports the share of recent calls that the target itself refused.
 	HeaderShedShare = "Briarrock-Shed"
+	// HeaderRouteDuration reports the mean duration of the target's calls of the same route, in
+	// milliseconds.
+	HeaderRouteDuration = "Briarrock-Route-Usual"
 	// HeaderInstance is the ID of the target that the request is for.
 	HeaderInstance = "Briarrock-Instance"
 	// HeaderTrace is the trace ID of a call, the same on every hop.
@@ -215,6 +218,16 @@
 	return text
 }
 
+// writeRouteDuration adds the mean duration of a route's calls to the headers of a response.
+func (x *target) writeRouteDuration(h http.Header, route string) {
+	x.mu.Lock()
+	mean := x.gate.RouteDuration(route)
+	x.mu.Unlock()
+	if mean > 0 {
+		h.Set(HeaderRouteDuration, strconv.FormatFloat(float64(mean)/float64(time.Millisecond), 'f', 1, 64))
+	}
+}
+
 // forward sends a call that the gate has started to its target, and the response back.
 func (t *Targets) forward(w http.ResponseWriter, r *http.Request, x *target, id CallID, c call) {
 	t.started.Inc()
@@ -258,6 +271,7 @@
 	completed.Failed = res.StatusCode >= http.StatusInternalServerError
 	t.logCall(c, x, completed.Duration, strconv.Itoa(res.StatusCode), nil)
 	_ = x.writeLoad(w.Header())
+	x.writeRouteDuration(w.Header(), c.route)
 	w.Header().Set(kind.HeaderRan, kind.RanYes.String())
 	out = relay.CopyResponse(w, res, t.deps.StallTimeout)
 	if out.Kind != kind.None {
