--- a/briarrockd/caller/budget.go
+++ b/briarrockd/caller/budget.go
@@ -26,6 +26,9 @@
 	// rest of maxRepeatShare allows for saved tokens. Calls that no target got don't
 	// count as requests.
 	maxSharedTokensPerCall = 0.16
+	// minSharedTokensPerCall is the least. A node with few calls may save a whole token,
+	// which is more than its part of the fixed number, and makes up for it here.
+	minSharedTokensPerCall = 0.02
 	// savedShare is the part of that rest which a node uses. The other part is a margin
 	// for requests that become fewer within the window.
 	savedShare = 0.5
@@ -104,7 +107,7 @@
 	}
 	s := b.service(service)
 	calls := s.observeCall(now)
-	perCall := min(maxSharedTokensPerCall, max(tokensPerCall, maxRepeatShare-max(0, 1-b.nodeTokens)/calls))
+	perCall := min(maxSharedTokensPerCall, max(minSharedTokensPerCall, maxRepeatShare-max(0, 1-b.nodeTokens)/calls))
 	s.maxTokens = min(maxTokens, max(1, b.nodeTokens+savedShare*(maxRepeatShare-perCall)*calls))
 	s.add(perCall)
 }
