--- a/briarrockd/caller/attempts.go
+++ b/briarrockd/caller/attempts.go
@@ -89,7 +89,7 @@
 // startAttempt starts an attempt at an upstream that has not been tried. If there is none
 // it returns false and the reason.
 func (x *attempts) startAttempt(what string) (refusal, bool) {
-	u, ref, ok := x.p.deps.Balancer.pick(time.Now(), x.c.service.Name, x.c.upstreams, x.tried, x.c.route.Priority)
+	u, ref, ok := x.p.deps.Balancer.pickFor(time.Now(), x.c.service.Name, x.c.upstreams, x.tried, x.c.route.Priority, x.c.nested)
 	if !ok {
 		return ref, false
 	}
@@ -117,7 +117,9 @@
 func (x *attempts) handleResult(a *attempt) bool {
 	c := x.c
 	if a.reachedTarget {
-		x.reachedTarget++
+		if x.reachedTarget++; x.reachedTarget == 1 {
+			x.p.deps.Budget.addReached(time.Now(), c.service.Name)
+		}
 	} else {
 		x.reroutes++
 	}
@@ -217,7 +219,12 @@
 func (x *attempts) belowRunLimit() bool { return x.reachedTarget+x.inFlight <= x.c.route.Retries }
 
 // takeRetryToken takes one retry from the service's budget; false if none is left.
-func (x *attempts) takeRetryToken() bool { return x.p.deps.Budget.takeRetry(x.c.service.Name) }
+func (x *attempts) takeRetryToken() bool {
+	if x.c.nested {
+		return x.p.deps.Budget.takeNested(x.c.service.Name)
+	}
+	return x.p.deps.Budget.takeRetry(x.c.service.Name)
+}
 
 // combinedRan returns whether a call ran, given the value of its last attempt: a call did
 // not run only if it ran in none of its attempts.
--- a/briarrockd/caller/balancer.go
+++ b/briarrockd/caller/balancer.go
@@ -39,6 +39,10 @@
 	// another region.
 	failureWeight = 0.1
 	failureCost   = 6.0
+	// nestedShedCost is the cost for a nested call of an upstream whose target refuses all
+	// calls. A refusal takes a retry from the budget, and without one the work of the
+	// outer call is lost.
+	nestedShedCost = 8.0
 	// failureHalfLife is the age at which the failure rate counts half, so that an
 	// upstream that gets no attempts because of it is tried again.
 	failureHalfLife = 2 * time.Second
@@ -92,6 +96,8 @@
 	// states are by service and host, stateCount is their number.
 	states     map[string]map[string]*state
 	stateCount int
+	// usual is the usual duration of each route's calls in seconds, by service and route.
+	usual map[string]map[string]float64
 }
 
 // NewBalancer returns a Balancer for a node in the given domain and region.
@@ -99,7 +105,7 @@
 	return &Balancer{
 		domain: domain, region: region,
 		rng:    rand.New(rand.NewPCG(seed, 1)),
-		states: make(map[string]map[string]*state),
+		states: make(map[string]map[string]*state), usual: make(map[string]map[string]float64),
 	}
 }
 
@@ -110,6 +116,7 @@
 	service string
 	set     []upstream
 	states  []*state // nil for an upstream without recorded state
+	nested  bool     // the pick is for a nested call
 }
 
 func (b *Balancer) view(now time.Time, service string, set []upstream) *view {
@@ -125,9 +132,16 @@
 // If there is none it returns false and the reason. The reason is found under the same
 // lock, because a moment later it could be a different one.
 func (b *Balancer) pick(now time.Time, service string, set []upstream, tried []string, priority snapshot.Priority) (upstream, refusal, bool) {
+	return b.pickFor(now, service, set, tried, priority, false)
+}
+
+// pickFor is pick for a call that may be a nested one. A nested call avoids targets that
+// refuse calls themselves.
+func (b *Balancer) pickFor(now time.Time, service string, set []upstream, tried []string, priority snapshot.Priority, nested bool) (upstream, refusal, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	v := b.view(now, service, set)
+	v.nested = nested
 	best, found := b.best(v, tried, priority)
 	if !found {
 		return upstream{}, v.refusalReason(priority), false
@@ -268,12 +282,17 @@
 		return 0
 	}
 	durationRatio := 1.0
-	if medianDuration > 0 && s.meanDuration > 0 {
+	if s.slowness > 0 {
+		durationRatio = s.slowness
+	} else if medianDuration > 0 && s.meanDuration > 0 {
 		durationRatio = float64(s.meanDuration) / float64(medianDuration)
 	}
 	cost := durationRatio*(1+loadCost(s.expectedLoad(v.now, v.set[i].slots))) - 1
 	failureRate := s.decayedFailureRate(v.now)
 	cost += failureCost * failureRate * failureRate
+	if v.nested {
+		cost += nestedShedCost * s.shedShare
+	}
 	if s.stalled(v.now) {
 		cost += stallCost
 	}
@@ -325,6 +344,9 @@
 	s := b.state(service, host)
 	s.inFlight = max(0, s.inFlight-1)
 	s.observeFeedback(now, f)
+	if f.RouteDuration > 0 {
+		s.observeSlowness(b.observeRoute(service, f))
+	}
 	if f.Leaving {
 		s.leavingUntil, s.leavingIncarnation = now.Add(leavingTTL), s.incarnation
 	}
--- a/briarrockd/target/limiter.go
+++ b/briarrockd/target/limiter.go
@@ -89,10 +89,10 @@
 // load, load is not the cause, and a lower limit would only cost capacity.
 func (l *limiter) observeShed(shed, lowLoad bool) {
 	if lowLoad {
-		l.shedLowLoad.observe(shed)
+		l.shedLowLoad.observe(shed, shareWeight)
 		return
 	}
-	l.shedHighLoad.observe(shed)
+	l.shedHighLoad.observe(shed, shareWeight)
 }
 
 // decrease lowers the limit by decreaseFactor, but not below floor.
--- a/briarrockd/target/overload.go
+++ b/briarrockd/target/overload.go
@@ -50,7 +50,7 @@
 
 // recordDecision records whether a call was refused or admitted on arrival.
 func (p *overload) recordDecision(priority snapshot.Priority, refused bool) {
-	p.refusedShare[min(priority, snapshot.MaxPriority)].observe(refused)
+	p.refusedShare[min(priority, snapshot.MaxPriority)].observe(refused, shareWeight)
 }
 
 // recordStarted records the start of a call.
@@ -84,10 +84,10 @@
 type movingShare float64
 
 // observe adds an event.
-func (s *movingShare) observe(holds bool) {
+func (s *movingShare) observe(holds bool, weight float64) {
 	x := 0.0
 	if holds {
 		x = 1
 	}
-	*s += movingShare(shareWeight * (x - float64(*s)))
+	*s += movingShare(weight * (x - float64(*s)))
 }
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -34,12 +34,20 @@
 	// HeaderMeanDuration the mean duration of its calls in milliseconds.
 	HeaderLoad         = "Briarrock-Load"
 	HeaderMeanDuration = "Briarrock-Usual"
+	// HeaderShedShare reports the share of recent calls that the target itself refused.
+	HeaderShedShare = "Briarrock-Shed"
+	// HeaderRouteDuration reports the mean duration of the target's calls of the same route, in
+	// milliseconds.
+	HeaderRouteDuration = "Briarrock-Route-Usual"
 	// HeaderInstance is the ID of the target that the request is for.
 	HeaderInstance = "Briarrock-Instance"
 	// HeaderTrace is the trace ID of a call, the same on every hop.
 	HeaderTrace = "Briarrock-Trace"
 )
 
+// minReportedShedShare is the least share of refused calls that is reported.
+const minReportedShedShare = 0.01
+
 // maxDeadline bounds the time that a deadline header may set.
 const maxDeadline = time.Hour
 
@@ -210,19 +218,32 @@
 // reported to the headers of a response. It returns the load.
 func (x *target) writeLoad(h http.Header) string {
 	x.mu.Lock()
-	load, mean := x.gate.Load(time.Now()), x.gate.MeanDuration()
+	load, mean, shed := x.gate.Load(time.Now()), x.gate.MeanDuration(), x.gate.ShedShare()
 	x.mu.Unlock()
 	text := strconv.FormatFloat(load, 'f', 2, 64)
 	h.Set(HeaderLoad, text)
 	if mean > 0 {
 		h.Set(HeaderMeanDuration, strconv.FormatInt(mean.Milliseconds(), 10))
 	}
+	if shed >= minReportedShedShare {
+		h.Set(HeaderShedShare, strconv.FormatFloat(shed, 'f', 2, 64))
+	}
 	if n, ok := x.notice(); ok {
 		WriteNotices(h, time.Now(), n)
 	}
 	return text
 }
 
+// writeRouteDuration adds the mean duration of a route's calls to the headers of a response.
+func (x *target) writeRouteDuration(h http.Header, route string) {
+	x.mu.Lock()
+	mean := x.gate.RouteDuration(route)
+	x.mu.Unlock()
+	if mean > 0 {
+		h.Set(HeaderRouteDuration, strconv.FormatFloat(float64(mean)/float64(time.Millisecond), 'f', 1, 64))
+	}
+}
+
 // forward sends a call that the gate has started to its target, and the response back.
 func (t *Targets) forward(w http.ResponseWriter, r *http.Request, x *target, id CallID, c call) {
 	t.started.Inc()
@@ -266,6 +287,7 @@
 	completed.Failed = res.StatusCode >= http.StatusInternalServerError
 	t.logCall(c, x, completed.Duration, strconv.Itoa(res.StatusCode), nil)
 	_ = x.writeLoad(w.Header())
+	x.writeRouteDuration(w.Header(), c.route)
 	w.Header().Set(kind.HeaderRan, kind.RanYes.String())
 	out = relay.CopyResponse(w, res, t.deps.StallTimeout)
 	if out.Kind != kind.None {
--- a/briarrockd/target/share.go
+++ b/briarrockd/target/share.go
@@ -75,7 +75,7 @@
 		return
 	}
 	x := s.counts[workspace]
-	x.refused.observe(refused)
+	x.refused.observe(refused, shareWeight)
 	x.decidedAt = now
 	s.counts[workspace] = x
 	s.prune(now)
