peer: mesh-wide sums

Allowances and roll-outs need counters that are added over all nodes. Each node sets its contributions (CountersChanged); they are added up the tree of its domain, exchanged between the roots, and the totals are passed down (frames Sums and Totals, hook PublishSums). Only changed counters are sent, by each sender at most every 200 ms, and nothing while no node has counters. A subtree or domain that is silent for 2 s is no longer included until it is heard again.

The link between the roots of two domains did not come back after a root was restarted or a partition healed, because pickMember kept its substitute. retryMember dials the first members again every 15 s while their domain can be reached.

--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -84,6 +84,11 @@
 	members     []peer.Member
 	crashCounts map[uint64]int
 
+	// countersMu guards the contributions to the mesh-wide sums, by the prefix of
+	// their user.
+	countersMu sync.Mutex
+	counters   map[string]map[string][]uint64
+
 	onVersion func(version uint64)
 	startedAt time.Time
 	stopping  atomic.Bool
--- a/briarrockd/peer/frame.go
+++ b/briarrockd/peer/frame.go
@@ -281,6 +281,10 @@
 		return decode(b[1:], func(VersionAck) bool { return true })
 	case codePollNotice:
 		return decode(b[1:], func(f PollNotice) bool { return f.Host != "" && len(f.Host) <= maxNameSize })
+	case codeSums:
+		return decode(b[1:], func(f Sums) bool { return validCounters(f.Counters) && len(f.Domain) <= maxNameSize })
+	case codeTotals:
+		return decode(b[1:], func(f Totals) bool { return validCounters(f.Counters) })
 	case codeFloorNotice:
 		return decode(b[1:], func(FloorNotice) bool { return true })
 	default:
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -130,6 +130,7 @@
 	contacts contactRows
 	reports  reports
 	crashes  crashTable
+	sums     sums
 }
 
 // link is one open link.
@@ -168,6 +169,7 @@
 	inProgress bool
 	failures   int       // consecutive failed attempts
 	nextAt     time.Time // earliest time of the next attempt
+	retriedAt  time.Time // last time that retryMember set failures back
 }
 
 // New returns a Core whose member table holds only its own record. All random choices
@@ -191,6 +193,7 @@
 	c.watch = newWatch(now, c.jitter(startJitter))
 	c.reports = newReports()
 	c.crashes = newCrashTable()
+	c.sums = newSums()
 	c.table.put(now, c.self)
 	return c
 }
@@ -227,6 +230,8 @@
 		c.onPollFailed()
 	case Crashed:
 		c.onCrashed(m)
+	case CountersChanged:
+		c.onCountersChanged(m.Counters)
 	case Leave:
 		c.leave()
 	}
@@ -255,6 +260,7 @@
 	c.tickContacts()
 	c.tickReport()
 	c.tickCrashes()
+	c.tickSums()
 	if c.membersChanged {
 		c.membersChanged = false
 		c.emit(PublishMembers{c.liveMembers()})
@@ -308,6 +314,10 @@
 		c.raiseRemoteFloor(l.id, f.Version)
 	case PollNotice:
 		c.onPollNotice(l, f)
+	case Sums:
+		c.onSums(l, f)
+	case Totals:
+		c.onTotals(l, f)
 	default:
 		// A second Hello on an open link violates the protocol.
 		c.log(event.PeerGarbage, event.Fields{event.Subject: l.host})
--- a/briarrockd/peer/simmesh_test.go
+++ b/briarrockd/peer/simmesh_test.go
@@ -29,6 +29,8 @@
 	onStep func(step string, h *simHost)
 	// onWatch is called with each Core's Watch commands.
 	onWatch func(h *simHost, w Watch)
+	// onSums is called with each Core's PublishSums commands.
+	onSums func(h *simHost, p PublishSums)
 	// violations collects descriptions of violated invariants.
 	violations []string
 	// lostVersions counts the times that a host served an older version than before
@@ -119,6 +121,7 @@
 		isolated: make(map[string]bool),
 		onStep:   func(string, *simHost) {},
 		onWatch:  func(*simHost, Watch) {},
+		onSums:   func(*simHost, PublishSums) {},
 		store: fakeStore{
 			rows:     make(map[string]platform.Row),
 			objects:  make(map[snapshot.Hash][]byte),
@@ -314,6 +317,8 @@
 		sim.checkServed(h, c)
 	case Watch:
 		sim.onWatch(h, c)
+	case PublishSums:
+		sim.onSums(h, c)
 	}
 }
 
@@ -415,7 +420,7 @@
 // stepName returns the name that testdata/matrix.yaml has for the sending of a frame.
 func stepName(fr Frame) string {
 	return [...]string{
-		"", "hello", "beat", "digests", "listing", "wants", "records", "notice", "fetch", "content", "report", "summary", "hold", "known", "have", "fresh",
+		"", "hello", "beat", "digests", "listing", "wants", "records", "notice", "fetch", "content", "report", "summary", "hold", "known", "have", "fresh", "sums", "totals",
 	}[fr.code()]
 }
 
--- a/briarrockd/peer/transport.go
+++ b/briarrockd/peer/transport.go
@@ -56,6 +56,8 @@
 	HeldRequest    func(HeldRequest)
 	// Watch may be nil if the Core reads the head itself, without DelegatePolling.
 	Watch func(Watch)
+	// PublishSums may be nil if the sums are not used.
+	PublishSums func(PublishSums)
 }
 
 // Transport runs a Core: it owns the goroutines, the connections to peers and the
@@ -224,6 +226,10 @@
 		t.hooks.HeldRequest(c)
 	case Watch:
 		t.hooks.Watch(c)
+	case PublishSums:
+		if t.hooks.PublishSums != nil {
+			t.hooks.PublishSums(c)
+		}
 	case Log:
 		t.log.Emit(c.Event, c.Fields)
 	}
