--- a/briarrockd/allowance/allowance.go
+++ b/briarrockd/allowance/allowance.go
@@ -65,10 +65,10 @@
 	// the window. extraRequests is added at each node: requests come unevenly, and the
 	// share of a small workspace is less than that.
 	extraShare    = 0.5
-	extraRequests = 3
+	extraRequests = 6
 	// evenShare is the part of the remaining window that is divided evenly among all
 	// nodes for uses beyond the buckets, for callers that move.
-	evenShare = 0.5
+	evenShare = 0.3
 	// surgeFactor is the largest demand that is expected, in units of rate: nine times
 	// the usual demand of rate/1.6. surgeTime is how long it goes unnoticed.
 	surgeFactor = 9 / 1.6
@@ -305,8 +305,13 @@
 		own := float64(w.used.total()+w.refused.total()) / l.cfg.Window.Seconds()
 		share = own / max(w.sums.demand+own, own)
 	}
-	interval := 1 / max(share*l.mesh.part(&w.pool)*w.limit.Rate, 1e-6)
-	wait := max(0.5, 1-w.level) * interval
-	wait += l.rng.Float64() * min(float64(w.refused.total())*interval, l.cfg.Window.Seconds())
-	return min(time.Duration(min(wait, maxRetryAfter.Seconds())*float64(time.Second)), maxRetryAfter)
+	rate := share * l.mesh.part(&w.pool) * w.limit.Rate
+	window := l.cfg.Window.Seconds()
+	if rate == 0 {
+		// The node has nothing to give until it is connected again.
+		return time.Duration((0.5 + l.rng.Float64()) * float64(l.cfg.Window))
+	}
+	wait := max(0.5, 1-w.level) / rate
+	wait += l.rng.Float64() * min(float64(w.refused.total())/rate, window)
+	return time.Duration(min(wait, maxRetryAfter.Seconds()) * float64(time.Second))
 }
