--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -24,6 +24,7 @@
 	HeaderDeadline    = "Briarrock-Deadline" // milliseconds left
 	HeaderAim         = "Briarrock-Aim"      // milliseconds until the call's aim, negative after it
 	HeaderCaller      = "Briarrock-Caller"
+	HeaderWorkspace   = "Briarrock-Workspace" // name of the caller's workspace
 	HeaderPriority    = "Briarrock-Priority"
 	HeaderFingerprint = "Briarrock-Print" // fingerprint of the request
 	HeaderRoute       = "Briarrock-Route" // name of the route
@@ -46,6 +47,7 @@
 type call struct {
 	service     string
 	caller      string
+	workspace   string // empty if the caller has none
 	priority    snapshot.Priority
 	route       string
 	deadline    time.Time
@@ -73,6 +75,7 @@
 		aim:         aim,
 		service:     r.Header.Get(HeaderService),
 		caller:      r.Header.Get(HeaderCaller),
+		workspace:   r.Header.Get(HeaderWorkspace),
 		priority:    min(snapshot.Priority(priority), snapshot.MaxPriority),
 		deadline:    now.Add(time.Duration(ms) * time.Millisecond),
 		route:       r.Header.Get(HeaderRoute),
@@ -102,11 +105,7 @@
 		return
 	}
 	relay.EnableFullDuplex(w, r)
-	arrival := Arrival{Caller: c.caller, Priority: c.priority, Route: c.route, Deadline: c.deadline, Aim: c.aim, CrossRegion: c.crossRegion, BodyBytes: r.ContentLength}
-	if t.deps.NoFairQueueing {
-		arrival.Caller = ""
-	}
-	id, refuse := x.acquire(r.Context(), arrival)
+	id, refuse := x.acquire(r.Context(), t.arrival(c, r.ContentLength))
 	if refuse.Kind != kind.None {
 		t.refuse(w, c, x, refuse)
 		return
@@ -119,6 +118,20 @@
 	t.forward(w, r, x, id, c)
 }
 
+// arrival returns the message to the gate for a call with a body of the given length. Calls of a
+// workspace are queued fairly between workspaces, also where NoFairQueueing is set: a workspace's
+// name does not depend on the host that the call comes from.
+func (t *Targets) arrival(c call, bodyBytes int64) Arrival {
+	a := Arrival{Caller: c.caller, Priority: c.priority, Route: c.route, Deadline: c.deadline, Aim: c.aim, CrossRegion: c.crossRegion, BodyBytes: bodyBytes}
+	switch {
+	case c.workspace != "":
+		a.Caller, a.Workspace = c.workspace, true
+	case t.deps.NoFairQueueing:
+		a.Caller = ""
+	}
+	return a
+}
+
 // withheldBodyTimeout bounds the time in which a short withheld body has to arrive once it has been
 // requested.
 const withheldBodyTimeout = 500 * time.Millisecond
@@ -132,7 +145,7 @@
 	}
 	// If the caller's node has been cut off meanwhile, it must not keep the slot.
 	b, err := relay.ReadBody(r, min(withheldBodyTimeout, time.Until(c.deadline)))
-	if err != nil {
+	if err != nil || r.Context().Err() != nil {
 		x.step(Completed{ID: id, Route: c.route})
 		t.refuse(w, c, x, Refuse{Kind: kind.Cancel})
 		return false
@@ -178,6 +191,9 @@
 		t.overRate.Inc()
 	}
 	f := event.Fields{"trace": c.trace, "service": c.service, "priority": c.priority, "kind": string(r.Kind), "after": r.RetryAfter.Milliseconds()}
+	if c.workspace != "" {
+		f["workspace"] = c.workspace
+	}
 	if x != nil {
 		f["target"], f["load"] = x.addr, x.writeLoad(w.Header())
 		x.addRateFields(f)
@@ -295,6 +311,9 @@
 	if cause != nil {
 		f["cause"] = cause.Error()
 	}
+	if c.workspace != "" {
+		f["workspace"] = c.workspace
+	}
 	x.addRateFields(f)
 	t.deps.Log.Call(event.RunEnded, f, success)
 }
@@ -331,13 +350,13 @@
 }
 
 // targetHeaders returns the headers that a target may use: the ID of the target that the request is
-// for, the caller, the time left, and the trace ID.
+// for, the caller and its workspace, the time left, and the trace ID.
 func (t *Targets) targetHeaders(r *http.Request, x *target, c call) http.Header {
 	h := make(http.Header, 4)
 	if id := t.lastAnnouncement(x).ID; id != "" {
 		h.Set(HeaderInstance, id)
 	}
-	for _, name := range []string{HeaderTrace, HeaderCaller} {
+	for _, name := range []string{HeaderTrace, HeaderCaller, HeaderWorkspace} {
 		if v := r.Header.Get(name); v != "" {
 			h.Set(name, v)
 		}
