allowance: decide by the mesh-wide use, and use more of the bound

Requests beyond the buckets were refused once use and refusals together were at the allowance, so repeats of refused requests kept others out. Returned requests counted as demand. A workspace beyond its allowance got 0.86 of it in the mean.

The use in the window alone decides, unless it grows or nodes are missing; returned requests leave the demand; while the use is high and steady, shares of what is left are not limited by the buckets and make up for adding up to less than one. The published use leaves out the oldest slot, which has left the window when the others receive it.

--- a/briarrockd/allowance/allowance.go
+++ b/briarrockd/allowance/allowance.go
@@ -19,8 +19,9 @@
 // the sums may be late is at most its share of what the mesh-wide use leaves of the
 // window's bound. So uses that the sums do not show yet can't exceed the bound.
 //
-// While the sums are fresh and the mesh-wide demand is within the allowance, a node may
-// admit requests beyond its bucket, as far as the mesh-wide use is below the bound.
+// While the sums are fresh and the mesh-wide use is well below the bound, a node may admit
+// requests beyond its bucket. Requests that were returned and repeats of refused requests
+// do not matter for that, unless the use grows or nodes are missing.
 //
 // # Failures
 //
@@ -30,6 +31,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -57,6 +59,18 @@
 	// usableOvershoot is the part of overshoot and slack that is planned for; the rest
 	// is for shares that overlap while they change.
 	usableOvershoot = 0.5
+	// strictOvershoot is that part while the use grows or nodes are missing: a surge at
+	// the moment of a partition is the worst case.
+	strictOvershoot = 0.3
+	// freeUse is the part of the bound up to which the mesh-wide use leaves room for
+	// requests beyond the buckets.
+	freeUse = 0.7
+	// surgeStep is the growth of the mesh-wide use within a second, in units of the
+	// allowance, that counts as a surge.
+	surgeStep = 0.1
+	// steadyGain multiplies the shares of what is left while the use is high and steady:
+	// shares are the least of the last seconds and add up to less than one.
+	steadyGain = 1.25
 	// bucketRate is the rate of the buckets in units of their share of the limit. Each
 	// share is the least of the last two seconds, so they add up to less than one.
 	bucketRate = 1.17
@@ -132,6 +146,7 @@
 	shares    [shareHistory]float64  // by the total at each publication, the newest last
 	share     float64                // the least of them
 	sums      published
+	recentUse [demandHistory]float64 // mesh-wide, at the last publications
 	pool      pool
 }
 
@@ -205,6 +220,8 @@
 	}
 	l.roll(w, now)
 	w.used.remove()
+	w.mean = max(w.meanDemand(now)-1/demandMemory.Seconds(), 0)
+	w.meanAt = now
 	l.refill(w, now)
 	w.level = min(w.level+1, max(w.depth(l), 1))
 }
@@ -263,14 +280,19 @@
 }
 
 // bound is the number of requests in a window that is planned for.
-func (l *Limiter) bound(limit Limit) float64 {
-	return (limit.Rate*l.cfg.Window.Seconds()+limit.Burst)*(1+usableOvershoot*l.cfg.Overshoot) + usableOvershoot*l.cfg.Slack
+func (l *Limiter) bound(limit Limit, usable float64) float64 {
+	return (limit.Rate*l.cfg.Window.Seconds()+limit.Burst)*(1+usable*l.cfg.Overshoot) + usable*l.cfg.Slack
 }
 
 // admit decides on one request.
 func (l *Limiter) admit(w *workspace, now time.Time) bool {
 	part := l.mesh.part(&w.pool)
-	bound := part * l.bound(w.limit)
+	strict := !l.mesh.complete || w.surging(l)
+	usable := usableOvershoot
+	if strict {
+		usable = strictOvershoot
+	}
+	bound := part * l.bound(w.limit, usable)
 	if late := now.Sub(l.mesh.heardAt); late > freshFor {
 		// Without sums a node keeps to its share of the whole window, until the others
 		// may have released it.
@@ -278,11 +300,17 @@
 	}
 	remaining := max(bound-w.sums.used, 0)
 	own := float64(w.used.last(l.slotsIn(sumsLate)) + 1)
-	if w.level >= 1 && own <= w.share*remaining+w.rounding {
+	free := w.sums.used <= freeUse*bound
+	if own <= w.share*remaining+w.rounding && w.level >= 1 {
 		return true
 	}
-	allowed := part * (w.limit.Rate*l.cfg.Window.Seconds() + w.limit.Burst + l.cfg.Slack/2)
-	if l.mesh.unknown || w.sums.used+w.sums.refused > allowed {
+	if !free && !strict {
+		return own <= steadyGain*w.share*remaining+w.rounding
+	}
+	if l.mesh.unknown || !free {
+		return false
+	}
+	if strict && w.sums.used+w.sums.refused > part*(w.limit.Rate*l.cfg.Window.Seconds()+w.limit.Burst+l.cfg.Slack/2) {
 		return false
 	}
 	own = float64(w.used.last(l.slotsIn(cutUnnoticed)) + 1)
@@ -294,7 +322,13 @@
 		most += remaining / newcomerParts
 	}
 	expected := surgeFactor * w.limit.Rate * surgeTime
-	return own <= most && l.rng.Float64()*expected < remaining
+	return own <= most && (!strict || l.rng.Float64()*expected < remaining)
+}
+
+// surging reports whether the mesh-wide use has grown within the last second by more
+// than chance.
+func (w *workspace) surging(l *Limiter) bool {
+	return w.sums.used-slices.Min(w.recentUse[:]) > surgeStep*l.bound(w.limit, 0)
 }
 
 // retryAfter returns when the node will have a token for a request that it refuses,
--- a/briarrockd/allowance/allowance_test.go
+++ b/briarrockd/allowance/allowance_test.go
@@ -89,3 +89,19 @@
 	c.Check(l.Limited(), qt.IsFalse)
 	c.Check(l.Counters(start), qt.IsNil)
 }
+
+// TestReturnedDemand guards against requests that did not run and count as demand.
+func TestReturnedDemand(t *testing.T) {
+	c := qt.New(t)
+	l := newLimiter(allowance.Limit{Rate: 50, Burst: 50})
+	run(l, 0, 20, 4)
+	before := l.Counters(start.Add(20 * time.Second))[allowance.Prefix+"x"][2]
+	for i := range 400 {
+		now := start.Add(20*time.Second + time.Duration(i)*time.Millisecond)
+		if _, ok := l.Take(now, "x"); ok {
+			l.Return(now, "x")
+		}
+	}
+	after := l.Counters(start.Add(20*time.Second + 400*time.Millisecond))[allowance.Prefix+"x"][2]
+	c.Check(after <= before+before/5, qt.IsTrue, qt.Commentf("%d, before %d", after, before))
+}
--- a/briarrockd/allowance/sums.go
+++ b/briarrockd/allowance/sums.go
@@ -105,6 +105,8 @@
 		p := l.publish(w, now)
 		copy(w.demands[:], w.demands[1:])
 		copy(w.shares[:], w.shares[1:])
+		copy(w.recentUse[:], w.recentUse[1:])
+		w.recentUse[demandHistory-1] = w.sums.used
 		w.demands[demandHistory-1] = p.demand
 		if p == (published{}) {
 			if w.sums == p && w.meanDemand(now) < leastDemand && len(w.pool.pending) == 0 {
@@ -123,8 +125,9 @@
 // change is sent to all nodes.
 func (l *Limiter) publish(w *workspace, now time.Time) published {
 	old := &w.published
-	step := usedStep * l.bound(w.limit) / max(l.mesh.nodes, 1)
-	used, refused := float64(w.used.total()), float64(w.refused.total())
+	step := usedStep * l.bound(w.limit, 0) / max(l.mesh.nodes, 1)
+	// The oldest slot has left the window by the time the others receive the sums.
+	used, refused := float64(w.used.last(slots-1)), float64(w.refused.total())
 	if used == 0 || math.Abs(used-old.used) > step {
 		old.used = used
 	}
--- a/briarrockd/peer/allowance_load_test.go
+++ b/briarrockd/peer/allowance_load_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -69,6 +70,12 @@
 	worstExcess float64
 	worst       string
 	periodEnd   time.Time
+	// refusing is the part of the admitted requests that targets refuse. Their callers,
+	// and those of requests beyond the allowance, repeat them once.
+	refusing float64
+	// wrong counts wrongful refusals, wrongHot those of workspaces beyond twice the usual.
+	wrong, wrongHot, repeated int
+	longestRetry              time.Duration // of the wrongful refusals
 }
 
 func newLoadMesh(seed uint64, domains, perDomain int, kind string) *loadMesh {
@@ -219,22 +226,69 @@
 		if !h.alive || h.paused {
 			continue
 		}
-		f.requests++
 		if t.level >= 1 {
 			t.level--
 			t.due++
 		}
-		if _, ok := f.ways[h].Take(now, t.name); !ok {
-			continue
+		if f.request(t, h, f.refusing == 0) {
+			t.got++
+		}
+	}
+}
+
+// request sends one request of a tenant to a host and returns whether it was admitted.
+// A refusal is wrongful while the mesh-wide use of the last window is below the allowance.
+func (f *loadMesh) request(t *tenant, h *simHost, last bool) bool {
+	now := time.Now()
+	f.requests++
+	again := func() {
+		if last {
+			return
+		}
+		f.after(time.Duration(40+f.rng.IntN(260))*time.Millisecond, func() {
+			if o := f.nodes[t.callers[f.rng.IntN(len(t.callers))]]; o.alive && !o.paused {
+				f.repeated++
+				f.request(t, o, true)
+			}
+		})
+	}
+	retryAfter, ok := f.ways[h].Take(now, t.name)
+	if !ok {
+		used := 0
+		for _, at := range t.admitted {
+			if now.Sub(at) < quotaWindow {
+				used++
+			}
 		}
-		t.got++
-		t.admitted = append(t.admitted, now)
-		excess := float64(len(t.admitted)) / t.bound()
-		if excess > f.worstExcess {
-			f.worstExcess = excess
-			f.worst = fmt.Sprintf("%s at %v: %d requests in a window, bound %.0f", t.name, now.Sub(f.began), len(t.admitted), t.bound())
+		if float64(used) < t.limit.Rate*quotaWindow.Seconds()+t.limit.Burst {
+			f.wrong++
+			if t.surge > 2 && now.Before(t.surgeEnd) {
+				f.wrongHot++
+			}
+			f.longestRetry = max(f.longestRetry, retryAfter)
 		}
+		again()
+		return false
+	}
+	t.admitted = append(t.admitted, now)
+	if f.refusing > 0 && f.rng.Float64() < f.refusing {
+		f.after(time.Duration(10+f.rng.IntN(40))*time.Millisecond, func() {
+			if l, ok := f.ways[h].(*allowance.Limiter); ok {
+				l.Return(time.Now(), t.name)
+			}
+			if i := slices.Index(t.admitted, now); i >= 0 {
+				t.admitted = slices.Delete(t.admitted, i, i+1)
+			}
+			again()
+		})
+		return true
+	}
+	excess := float64(len(t.admitted)) / t.bound()
+	if excess > f.worstExcess {
+		f.worstExcess = excess
+		f.worst = fmt.Sprintf("%s at %v: %d requests in a window, bound %.0f", t.name, now.Sub(f.began), len(t.admitted), t.bound())
 	}
+	return true
 }
 
 // addTenants adds workspaces whose rates follow Zipf's law with exponent 1.2, from
