--- a/briarrockd/allowance/allowance.go
+++ b/briarrockd/allowance/allowance.go
@@ -310,7 +310,12 @@
 	if l.mesh.unknown || !free {
 		return false
 	}
-	if strict && w.sums.used+w.sums.refused > part*(w.limit.Rate*l.cfg.Window.Seconds()+w.limit.Burst+l.cfg.Slack/2) {
+	// Callers may repeat each refused request once, so half of them are distinct demand.
+	refused := w.sums.refused / 2
+	if strict {
+		refused = w.sums.refused
+	}
+	if w.sums.used+refused > part*(w.limit.Rate*l.cfg.Window.Seconds()+w.limit.Burst+l.cfg.Slack/2) {
 		return false
 	}
 	own = float64(w.used.last(l.slotsIn(cutUnnoticed)) + 1)
