allowance: shorter times to retry

Retry-After followed the tokens of the node, so a node with a small share named up to 6 s while the window had room. It is at most 1 s while the mesh-wide use is within the allowance, and otherwise at most the time until the window has room.

--- a/briarrockd/allowance/allowance.go
+++ b/briarrockd/allowance/allowance.go
@@ -98,6 +98,11 @@
 	// which the least counts; together they span cutUnnoticed.
 	demandHistory = 4
 	shareHistory  = 5
+	// maxRetryWithin bounds, in seconds, the time named to callers of a workspace that is
+	// within its allowance: its window has room, the node learns of it within that time.
+	maxRetryWithin = 1
+	// sumsAge is the mean age of the sums in seconds.
+	sumsAge = 0.5
 	// maxRetryAfter bounds the time named to callers.
 	maxRetryAfter = 10 * time.Minute
 )
@@ -352,5 +357,25 @@
 	}
 	wait := max(0.5, 1-w.level) / rate
 	wait += l.rng.Float64() * min(float64(w.refused.total())/rate, window)
+	if most := l.untilRoom(w); wait > most {
+		wait = most * (0.5 + 0.5*l.rng.Float64())
+	}
 	return time.Duration(min(wait, maxRetryAfter.Seconds()) * float64(time.Second))
 }
+
+// untilRoom returns the time in seconds until the mesh-wide window has room, and at least
+// maxRetryWithin. The node assumes that the uses of the others are as old as its own.
+func (l *Limiter) untilRoom(w *workspace) float64 {
+	allowed := l.mesh.part(&w.pool) * (w.limit.Rate*l.cfg.Window.Seconds() + w.limit.Burst)
+	excess := (w.sums.used - allowed + 1) / max(w.sums.used, 1)
+	if excess <= 0 {
+		return maxRetryWithin
+	}
+	own := float64(w.used.total())
+	for n := slots - 1; n > 0; n-- {
+		if own > 0 && own-float64(w.used.last(n)) >= excess*own {
+			return max((slots-float64(n))*l.slotTime().Seconds()-sumsAge, maxRetryWithin)
+		}
+	}
+	return max(min(excess, 1)*l.cfg.Window.Seconds(), maxRetryWithin)
+}
--- a/briarrockd/allowance/allowance_test.go
+++ b/briarrockd/allowance/allowance_test.go
@@ -90,6 +90,27 @@
 	c.Check(l.Counters(start), qt.IsNil)
 }
 
+// TestRetryAfter guards against times to retry that are longer than it takes until the
+// window has room: callers of a workspace within its allowance wait for a second at most,
+// also at a node that has hardly any share.
+func TestRetryAfter(t *testing.T) {
+	c := qt.New(t)
+	l := newLimiter(allowance.Limit{Rate: 19, Burst: 19})
+	for i := range 20000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		if i%250 == 0 {
+			l.SetMembers(now, 60, 0, 0)
+			sums := l.Counters(now)
+			sums[allowance.Prefix] = []uint64{60, 7}
+			sums[allowance.Prefix+"x"] = []uint64{100, 0, 20_000, 0}
+			l.SetSums(now, sums)
+		}
+		if retryAfter, ok := l.Take(now, "x"); !ok && i > 10000 { // a new process knows the use by then
+			c.Assert(retryAfter <= time.Second, qt.IsTrue, qt.Commentf("%v", retryAfter))
+		}
+	}
+}
+
 // TestReturnedDemand guards against requests that did not run and count as demand.
 func TestReturnedDemand(t *testing.T) {
 	c := qt.New(t)
--- a/briarrockd/peer/allowance_refused_test.go
+++ b/briarrockd/peer/allowance_refused_test.go
@@ -30,6 +30,7 @@
 			t.Logf("%s: %d requests, %d repeated, %d refused wrongfully (%d hot), longest retry %v, fullest window %.2f, %d bytes a second",
 				what, f.requests, f.repeated, f.wrong, f.wrongHot, f.longestRetry, f.worstExcess, f.bytes/seconds/len(f.nodes))
 			c.Check(float64(f.wrong-f.wrongHot) <= 0.01*float64(f.requests), qt.IsTrue, qt.Commentf("%s", what))
+			c.Check(f.longestRetry <= time.Second, qt.IsTrue, qt.Commentf("%s: %v", what, f.longestRetry))
 		}
 		phase("usual", 15)
 		for i, x := range f.tenants {
