--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -136,6 +136,7 @@
 	reports  reports
 	crashes  crashTable
 	proofs   proofs
+	sums     sums
 }
 
 // link is one open link.
@@ -177,6 +178,7 @@
 	inProgress bool
 	failures   int       // consecutive failed attempts
 	nextAt     time.Time // earliest time of the next attempt
+	retriedAt  time.Time // last time that retryMember set failures back
 }
 
 // New returns a Core whose member table holds only its own record. All random choices
@@ -200,6 +202,7 @@
 	c.watch = newWatch(now, c.jitter(startJitter))
 	c.reports = newReports()
 	c.crashes = newCrashTable()
+	c.sums = newSums()
 	c.table.put(now, c.self)
 	return c
 }
@@ -236,6 +239,8 @@
 		c.onPollFailed()
 	case Crashed:
 		c.onCrashed(m)
+	case CountersChanged:
+		c.onCountersChanged(m.Counters)
 	case Leave:
 		c.leave()
 	}
@@ -265,6 +270,7 @@
 	c.tickProofs()
 	c.tickReport()
 	c.tickCrashes()
+	c.tickSums()
 	if c.membersChanged {
 		c.membersChanged = false
 		c.emit(PublishMembers{c.liveMembers()})
@@ -320,6 +326,10 @@
 		c.onPollNotice(l, f)
 	case Proof:
 		c.onProof(l, f)
+	case Sums:
+		c.onSums(l, f)
+	case Totals:
+		c.onTotals(l, f)
 	default:
 		// A second Hello on an open link violates the protocol.
 		c.log(event.PeerGarbage, event.Fields{event.Subject: l.host})
--- a/briarrockd/peer/simmesh_test.go
+++ b/briarrockd/peer/simmesh_test.go
@@ -33,6 +33,10 @@
 	// the size of each Proof frame that a host sends.
 	onProof      func(h *simHost, p PublishProof)
 	onProofFrame func(h *simHost, bytes int)
+	// onSums is called with each Core's PublishSums commands.
+	onSums func(h *simHost, p PublishSums)
+	// onFrame is called with the size in bytes of each frame that is sent.
+	onFrame func(fr Frame, size int)
 	// violations collects descriptions of violated invariants.
 	violations []string
 	// lostVersions counts the times that a host served an older version than before
@@ -141,6 +145,8 @@
 
 		onProof:      func(*simHost, PublishProof) {},
 		onProofFrame: func(*simHost, int) {},
+		onSums:       func(*simHost, PublishSums) {},
+		onFrame:      func(Frame, int) {},
 		store: fakeStore{
 			rows:     make(map[string]platform.Row),
 			objects:  make(map[snapshot.Hash][]byte),
@@ -351,6 +357,8 @@
 		sim.onWatch(h, c)
 	case PublishProof:
 		sim.onProof(h, c)
+	case PublishSums:
+		sim.onSums(h, c)
 	}
 }
 
@@ -412,6 +420,7 @@
 		return
 	}
 	sim.onStep(stepName(c.Frame), h)
+	sim.onFrame(c.Frame, len(b))
 	side := 0
 	if l.ids[1] == c.Link {
 		side = 1
@@ -457,6 +466,7 @@
 	return [...]string{
 		"", "hello", "beat", "digests", "listing", "wants", "records", "notice", "fetch", "content", "report", "summary", "hold", "known", "have", "fresh",
 		"", "", "", "proof",
+		"", "hello", "beat", "digests", "listing", "wants", "records", "notice", "fetch", "content", "report", "summary", "hold", "known", "have", "fresh", "sums", "totals",
 	}[fr.code()]
 }
 
--- a/mesh/event/event.go
+++ b/mesh/event/event.go
@@ -85,6 +85,11 @@
 	AnswerBad        = Event{514, "answerbad", logrus.WarnLevel}
 	Workspaces       = Event{520, "workspaces", logrus.InfoLevel}
 	KeyRefused       = Event{521, "keyrefused", logrus.InfoLevel}
+	AllowanceUsed    = Event{525, "allowanceused", logrus.InfoLevel}
+	AllowanceLeft    = Event{526, "allowanceleft", logrus.InfoLevel}
+	SumsLate         = Event{527, "sumslate", logrus.WarnLevel}
+	SumsFresh        = Event{528, "sumsfresh", logrus.InfoLevel}
+	SharesReserved   = Event{529, "sharesreserved", logrus.InfoLevel}
 	EditAccepted     = Event{601, "accepted", logrus.InfoLevel}
 	EditConflict     = Event{602, "conflict", logrus.WarnLevel}
 	EditRefused      = Event{603, "invalid", logrus.WarnLevel}
@@ -103,6 +108,7 @@
 		CallFailed, TargetUp, TargetGone, TargetCrashed, RequestHeld, ClaimLost,
 		CallAnswered, CallGivenUp, RunRefused, RunEnded, TargetState, AnnounceBad, TargetRate, AnswerBad,
 		Workspaces, KeyRefused,
+		AllowanceUsed, AllowanceLeft, SumsLate, SumsFresh, SharesReserved,
 		EditAccepted, EditConflict, EditRefused, EditUnknown, OperatorRefused,
 	}
 }
