rollout: decide how a service's traffic moves to another version

Add the pure package: states and the precedence of orders, the share per node held by counting, evidence by route and version, a sequential test on the mesh-wide sums, and when a roll-out is switched, rolled back or completed. Checked by tables and by seeded rehearsals of bad and good versions among 10 to 300 nodes (TestSeeds).

--- /dev/null
+++ b/briarrockd/rollout/rollout_test.go
@@ -0,0 +1,186 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// TestMerge guards against a node that falls back to an older order or phase, and against
+// an order that takes the version of an unfinished order for the one in use.
+func TestMerge(t *testing.T) {
+	base := State{Service: "s", Order: 5, Target: "v2", Current: "v1", Duration: 12 * time.Second, StartedAt: start}
+	with := func(f func(*State)) State {
+		s := base
+		f(&s)
+		return s
+	}
+	for _, test := range []struct {
+		name       string
+		a, b, want State
+	}{
+		{"later phase", base, with(func(s *State) { s.Phase = RolledBack }), with(func(s *State) { s.Phase = RolledBack })},
+		{"rolled back before switched", with(func(s *State) { s.Phase = Switched }), with(func(s *State) { s.Phase = RolledBack }), with(func(s *State) { s.Phase = RolledBack })},
+		{"written completed before rolled back", with(func(s *State) { s.Phase = RolledBack }), with(func(s *State) { s.Phase = Completed }), with(func(s *State) { s.Phase = Completed })},
+		{"written", with(func(s *State) { s.Phase = RolledBack }), with(func(s *State) { s.Phase, s.Written = RolledBack, true }), with(func(s *State) { s.Phase, s.Written = RolledBack, true })},
+		{"earlier start", base, with(func(s *State) { s.StartedAt = start.Add(-time.Second) }), with(func(s *State) { s.StartedAt = start.Add(-time.Second) })},
+		{
+			"replaced while open", with(func(s *State) { s.Phase = Ramping }),
+			State{Service: "s", Order: 6, Target: "v3"},
+			State{Service: "s", Order: 6, Target: "v3", Current: "v1"},
+		},
+		{
+			"replaced after completion", with(func(s *State) { s.Phase = Completed }),
+			State{Service: "s", Order: 6, Target: "v1"},
+			State{Service: "s", Order: 6, Target: "v1", Current: "v2"},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			c.Check(Merge(test.a, test.b), qt.DeepEquals, test.want)
+			c.Check(Merge(test.b, test.a), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestAllows guards against a request at a version that no order allows.
+func TestAllows(t *testing.T) {
+	for _, test := range []struct {
+		name             string
+		state            State
+		next             bool
+		allowed, refused []string
+	}{
+		{"current", State{Target: "v2", Current: "v1"}, false, []string{"v1", ""}, []string{"v2", "v3"}},
+		{"target", State{Target: "v2", Current: "v1"}, true, []string{"v2"}, []string{"v1", "v3", ""}},
+		{"current unknown", State{Target: "v2"}, false, []string{"v1", ""}, []string{"v2"}},
+		{"back to the version in use", State{Target: "v1", Current: "v1"}, false, []string{"v1", ""}, []string{"v2"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			for _, v := range test.allowed {
+				c.Check(test.state.allows(v, test.next), qt.IsTrue, qt.Commentf("%q", v))
+			}
+			for _, v := range test.refused {
+				c.Check(test.state.allows(v, test.next), qt.IsFalse, qt.Commentf("%q", v))
+			}
+		})
+	}
+}
+
+// TestUnconfirmed guards against a restarted node that sends to all versions before it knows
+// whether there is an order, and against a deployment without roll-outs that waits for that.
+func TestUnconfirmed(t *testing.T) {
+	c := qt.New(t)
+	r := New(Config{Share: 0.1, Slack: 50}, 1)
+	choice := r.Begin(start, "s")
+	c.Check(choice.Barred(), qt.IsTrue)
+	r.Confirm()
+	choice = r.Begin(start, "s")
+	c.Check(choice.Barred(), qt.IsFalse)
+	c.Check(choice.Limited(), qt.IsFalse)
+	choice = New(Config{}, 1).Begin(start, "s")
+	c.Check(choice.Barred(), qt.IsFalse)
+	choice = (*Registry)(nil).Begin(start, "s")
+	c.Check(choice.Limited(), qt.IsFalse)
+}
+
+// TestCutOff guards against a node that is cut off and sends more than its share to the
+// target version: also if it knows of no other targets, and if the others have switched.
+func TestCutOff(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		phase Phase
+		fleet Fleet
+		max   int // of 1000 requests
+	}{
+		{"both versions", Observing, Fleet{Versions: map[string]int{"v1": 6, "v2": 6}, Targets: map[string]int{"v1": 1, "v2": 1}, Members: 9}, 0},
+		{"only the target version", Observing, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 81},
+		{"ramping", Ramping, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 21},
+		{"switched", Switched, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 21},
+		{"rolled back", RolledBack, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := New(Config{Share: 0.1, Slack: 50}, 1)
+			r.Adopt(start, State{Service: "s", Order: 1, Target: "v2", Current: "v1", Duration: 12 * time.Second, StartedAt: start, Phase: test.phase}, true)
+			now := start.Add(3 * time.Second)
+			r.Step(now, func(string) Fleet { return test.fleet })
+			next := 0
+			for range 1000 {
+				if choice := r.Begin(now, "s"); choice.Next() {
+					next++
+				}
+			}
+			c.Check(next <= test.max, qt.IsTrue, qt.Commentf("%d requests at the target version", next))
+		})
+	}
+}
+
+// TestRepeat guards against a repeat at the version that has just failed, and against one at
+// the current version once this node has said that it runs nothing there.
+func TestRepeat(t *testing.T) {
+	for _, test := range []struct {
+		phase Phase
+		next  bool
+	}{{Observing, false}, {Ramping, false}, {Mostly, false}, {Switched, true}, {RolledBack, false}, {Completed, true}} {
+		t.Run(test.phase.String(), func(t *testing.T) {
+			c := qt.New(t)
+			r := New(Config{Share: 0.1, Slack: 50}, 1)
+			r.Adopt(start, State{Service: "s", Order: 1, Target: "v2", Current: "v1", Duration: 12 * time.Second, StartedAt: start, Phase: test.phase}, true)
+			choice := r.Again(start, r.Begin(start, "s"))
+			c.Check(choice.Next(), qt.Equals, test.next)
+		})
+	}
+}
+
+// TestJudge guards against versions that are judged wrongly by clear evidence: a fault of both
+// versions, of one target, or a cold one is not the version's.
+func TestJudge(t *testing.T) {
+	group := func(answers, failed, broken, timed, slow float64) counts {
+		return counts{answers, failed, broken, timed, slow}
+	}
+	spreadOver := func(c counts) (out [targetGroups]counts) {
+		for g := range out {
+			for i := range c {
+				out[g][i] = c[i] / targetGroups
+			}
+		}
+		return out
+	}
+	for _, test := range []struct {
+		name  string
+		e     routeEvidence
+		cause string
+	}{
+		{"good", routeEvidence{current: group(1000, 5, 5, 1000, 50), groups: spreadOver(group(160, 1, 1, 150, 8))}, ""},
+		{"fails", routeEvidence{current: group(1000, 5, 5, 1000, 50), groups: spreadOver(group(80, 16, 0, 60, 3))}, "failed"},
+		{"both fail", routeEvidence{current: group(1000, 200, 5, 800, 50), groups: spreadOver(group(80, 16, 0, 60, 3))}, ""},
+		{"breaks", routeEvidence{current: group(1000, 5, 5, 1000, 50), groups: spreadOver(group(80, 0, 40, 40, 3))}, "broken"},
+		{"slow", routeEvidence{current: group(1000, 5, 5, 1000, 50), groups: spreadOver(group(80, 0, 0, 80, 60))}, "slow"},
+		{"one target breaks", routeEvidence{current: group(1000, 5, 5, 1000, 50), groups: func() [targetGroups]counts {
+			g := spreadOver(group(80, 0, 0, 80, 4))
+			g[3] = group(30, 0, 30, 0, 0)
+			return g
+		}()}, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.New(t).Check(judge("r", test.e, 8).Cause, qt.Equals, test.cause)
+		})
+	}
+}
+
+// TestSlowThreshold guards against a median that is taken from the wrong bucket.
+func TestSlowThreshold(t *testing.T) {
+	c := qt.New(t)
+	v := make([]uint64, vectorSize)
+	c.Check(slowThreshold(v), qt.Equals, time.Duration(0))
+	for range 100 {
+		v[fieldCount+bucket(100*time.Millisecond)]++
+	}
+	got := slowThreshold(v)
+	c.Check(got >= 200*time.Millisecond && got <= 300*time.Millisecond, qt.IsTrue, qt.Commentf("%v", got))
+}
--- /dev/null
+++ b/briarrockd/rollout/seeds_test.go
@@ -0,0 +1,231 @@
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// rehearsal is one roll-out among nodes that share their sums and states after a delay.
+type rehearsal struct {
+	nodes   int
+	rate    float64 // requests a second over all nodes
+	targets int     // of each version
+	// fault returns whether an answer of the target version fails and how many times slower
+	// it is, by the time since the order, the route and the share of the requests that the
+	// version gets.
+	fault func(rng *rand.Rand, at time.Duration, route int, load float64) (failed bool, slower float64)
+	bad   bool
+	// noisy lets 1 % of all answers fail, and all of one target of the target version break
+	// for three seconds.
+	noisy bool
+}
+
+type rehearsed struct {
+	phase       Phase
+	calls, sent float64
+	badAnswers  int
+	// late are the requests at the target version more than rollback after the 50th bad
+	// answer, endedAt is when the first node decided the end.
+	late    int
+	endedAt time.Duration
+	verdict Verdict
+}
+
+type pendingAnswer struct {
+	node int
+	o    Outcome
+}
+
+const (
+	rehearsalTick  = 20 * time.Millisecond
+	rehearsalLimit = 12 * time.Second
+	sumsDelay      = 500 * time.Millisecond
+	floodDelay     = 200 * time.Millisecond
+	rollback       = 5 * time.Second
+)
+
+func (x rehearsal) run(seed uint64) rehearsed {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	nodes := make([]*Registry, x.nodes)
+	order := State{Service: "s", Order: 1, Target: "v2", Current: "v1", Duration: rehearsalLimit, StartedAt: start}
+	for i := range nodes {
+		nodes[i] = New(Config{Share: 0.1, Slack: 50}, rng.Uint64())
+		nodes[i].Confirm()
+		nodes[i].Adopt(start, order, true)
+	}
+	slots := 6 * x.targets
+	fleet := Fleet{Versions: map[string]int{"v1": slots, "v2": slots}, Targets: map[string]int{"v1": x.targets, "v2": x.targets}, Members: x.nodes}
+	answers := make(map[int][]pendingAnswer)  // by tick
+	sums := make(map[int]map[string][]uint64) // by tick
+	floods := make(map[int][]State)           // by tick
+	var out rehearsed
+	var fiftieth time.Duration
+	recent := 0.0 // share of the requests at the target version
+	for tick := range int(rehearsalLimit / rehearsalTick) {
+		at := time.Duration(tick) * rehearsalTick
+		now := start.Add(at)
+		if tick%50 == 0 {
+			for _, n := range nodes {
+				n.Adopt(now, order, true) // peers repeat open orders
+			}
+		}
+		for _, s := range floods[tick] {
+			for _, n := range nodes {
+				n.Adopt(now, s, true)
+			}
+		}
+		if s := sums[tick]; s != nil {
+			for _, n := range nodes {
+				n.SetSums(now, s, x.nodes)
+			}
+		}
+		for _, a := range answers[tick] {
+			nodes[a.node].Observe(a.o)
+			if a.o.Version == "v2" && (a.o.Failed || a.o.Broken || a.o.Duration > 250*time.Millisecond) {
+				if out.badAnswers++; out.badAnswers == 50 {
+					fiftieth = at
+				}
+			}
+		}
+		tickCalls, tickSent := 0.0, 0.0
+		for n := x.rate * rehearsalTick.Seconds(); n > 0; n-- {
+			if n < 1 && rng.Float64() > n {
+				break
+			}
+			node := rng.IntN(x.nodes)
+			choice := nodes[node].Begin(now, "s")
+			out.calls++
+			tickCalls++
+			o := Outcome{Service: "s", Version: "v1", Host: "a" + strconv.Itoa(rng.IntN(x.targets)), Duration: time.Duration(float64(100*time.Millisecond) * (0.6 + 0.6*rng.Float64()))}
+			route := rng.IntN(5)
+			o.Route = "r" + strconv.Itoa(route)
+			if choice.Next() {
+				out.sent++
+				tickSent++
+				if out.badAnswers >= 50 && at-fiftieth > rollback {
+					out.late++
+				}
+				o.Version, o.Host = "v2", "b"+o.Host[1:]
+				failed, slower := x.fault(rng, at, route, recent)
+				o.Failed, o.Duration = failed, time.Duration(float64(o.Duration)*slower)
+			}
+			if x.noisy {
+				o.Failed = o.Failed || rng.Float64() < 0.01
+				o.Broken = o.Host == "b0" && at > 4*time.Second && at < 7*time.Second
+			}
+			due := tick + int(o.Duration/rehearsalTick) + 1
+			answers[due] = append(answers[due], pendingAnswer{node, o})
+		}
+		if tickCalls > 0 {
+			recent += (tickSent/tickCalls - recent) / 10
+		}
+		if tick%5 != 0 {
+			continue
+		}
+		total := make(map[string][]uint64)
+		for _, n := range nodes {
+			for key, v := range n.Counters(now) {
+				if total[key] == nil {
+					total[key] = make([]uint64, len(v))
+				}
+				for i := range v {
+					total[key][i] += v[i]
+				}
+			}
+		}
+		if tick%10 == 0 {
+			sums[tick+int(sumsDelay/rehearsalTick)] = total
+		}
+		for _, n := range nodes {
+			for _, change := range n.Step(now, func(string) Fleet { return fleet }) {
+				due := tick + int(floodDelay/rehearsalTick)
+				floods[due] = append(floods[due], change.State)
+				if change.State.Phase == RolledBack && out.endedAt == 0 {
+					out.endedAt, out.verdict = at, change.Verdict
+				}
+			}
+			if out.endedAt == 0 && n.Completable(now, "s", 1, fleet) {
+				out.endedAt = at
+				s := n.States()[0]
+				s.Phase, s.Written = Completed, true
+				floods[tick+5] = append(floods[tick+5], s)
+			}
+		}
+		if out.endedAt > 0 && at-out.endedAt > rollback+2*time.Second {
+			// What follows is the same at each tick.
+			out.calls += x.rate * (rehearsalLimit - at).Seconds()
+			break
+		}
+	}
+	out.phase = nodes[0].States()[0].Phase
+	return out
+}
+
+func failing(p float64) func(*rand.Rand, time.Duration, int, float64) (bool, float64) {
+	return func(rng *rand.Rand, _ time.Duration, _ int, _ float64) (bool, float64) { return rng.Float64() < p, 1 }
+}
+
+// TestSeeds guards against a bad version that gets more than its bound or is completed, and
+// a good one that is rolled back or not completed in time, whatever the seed. ROLLOUT_SEEDS
+// is the number of seeds of each case; the default keeps the test short.
+func TestSeeds(t *testing.T) {
+	seeds := 6
+	if n, err := strconv.Atoi(os.Getenv("ROLLOUT_SEEDS")); err == nil {
+		seeds = n
+	}
+	faults := map[string]func(*rand.Rand, time.Duration, int, float64) (bool, float64){
+		"good": failing(0), "fails": failing(0.3), "fails always": failing(1),
+		"slow": func(*rand.Rand, time.Duration, int, float64) (bool, float64) { return false, 4 },
+		"fails later": func(rng *rand.Rand, at time.Duration, _ int, _ float64) (bool, float64) {
+			return at > 5*time.Second && rng.Float64() < 0.4, 1
+		},
+		"one route": func(rng *rand.Rand, _ time.Duration, route int, _ float64) (bool, float64) {
+			return route == 2 && rng.Float64() < 0.5, 1
+		},
+		"under load": func(rng *rand.Rand, _ time.Duration, _ int, load float64) (bool, float64) {
+			return load > 0.2 && rng.Float64() < 0.4, 1
+		},
+		"under full load": func(rng *rand.Rand, _ time.Duration, _ int, load float64) (bool, float64) {
+			return load > 0.6 && rng.Float64() < 0.4, 1
+		},
+	}
+	for name, fault := range faults {
+		for _, size := range []struct {
+			nodes, targets int
+			rate           float64
+		}{{10, 4, 5}, {100, 10, 40}, {100, 10, 300}, {80, 12, 1000}, {300, 20, 1000}} {
+			t.Run(fmt.Sprintf("%s/%d nodes/%.0f a second", name, size.nodes, size.rate), func(t *testing.T) {
+				c := qt.New(t)
+				var completed int
+				var worst float64
+				ends := make(map[string]int)
+				for seed := range uint64(max(1, seeds*10/size.nodes)) {
+					bad := name != "good"
+					x := rehearsal{nodes: size.nodes, rate: size.rate, targets: size.targets, fault: fault, bad: bad, noisy: seed%2 == 1}
+					out := x.run(seed)
+					at := qt.Commentf("seed %d: %+v", seed, out)
+					ends[out.phase.String()+" "+out.verdict.Cause]++
+					if !bad {
+						c.Check(out.phase, qt.Equals, Completed, at)
+						continue
+					}
+					if out.phase == Completed {
+						completed++
+					}
+					worst = max(worst, out.sent-0.1*out.calls)
+					c.Check(out.late, qt.Equals, 0, at)
+					c.Check(out.sent <= 0.1*out.calls+50, qt.IsTrue, at)
+					c.Check(out.phase == Completed && out.badAnswers >= 50, qt.IsFalse, at)
+				}
+				t.Logf("ends %v, completed although bad %d, most above 10 %%: %.0f", maps.Clone(ends), completed, worst)
+			})
+		}
+	}
+}
--- /dev/null
+++ b/briarrockd/rollout/tracker.go
@@ -0,0 +1,339 @@
+package rollout
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Config holds the bounds of a deployment, see node.Rollout.
+type Config struct {
+	Share float64
+	Slack int
+}
+
+// Fleet describes the targets and members that a node knows, for one service.
+type Fleet struct {
+	// Versions are the numbers of slots of live targets by version.
+	Versions map[string]int
+	// Targets are the numbers of live targets by version.
+	Targets map[string]int
+	// Members is the number of live members of the mesh, this node included.
+	Members int
+}
+
+// Outcome is the end of one attempt that reached a target.
+type Outcome struct {
+	Service, Route, Version, Host string
+	// Failed is set if the target answered with a failure, Broken if the answer broke off,
+	// was late or never came.
+	Failed, Broken bool
+	// Duration is how long the answer took. Cold is set if the target has started shortly
+	// before, so that its durations say nothing about the version.
+	Duration time.Duration
+	Cold     bool
+}
+
+// maxRoutes bounds the routes of a service with evidence of their own; the further ones
+// share otherRoute.
+const (
+	maxRoutes  = 12
+	otherRoute = "*"
+)
+
+// Progress of an order's time limit at which the phases begin. Between Switched and the end
+// there is time for all nodes to report that they have switched, and for the status to be
+// written.
+const (
+	rampAt     = 0.57
+	mostlyAt   = 0.64
+	switchAt   = 0.78
+	completeAt = 0.81
+	// The phase Mostly begins with a probe of the full load. Then the share is small again
+	// until what the probe has shown has arrived, and only then stays.
+	probeTime = 0.035
+	probeEnd  = 0.09
+	// forceAt is when nodes that have not reported are no longer waited for: they can't be
+	// reached, or don't run.
+	forceAt = 0.95
+	// giveUpAt is when a version is rolled back of which no target has started, or that is
+	// still in doubt.
+	giveUpAt = 0.94
+	// fullSlotsUntil is how long the target version must have minSlotShare of the current
+	// one's slots for the traffic to move there.
+	fullSlotsUntil = 0.80
+	minSlotShare   = 0.5
+)
+
+// sumsMaxAge is the age up to which sums are good enough to go on to the next phase.
+const sumsMaxAge = 3 * time.Second
+
+// tracker holds a node's state of the roll-out of one service.
+type tracker struct {
+	cfg   Config
+	state State
+	// credit is the number of requests that the node may still send to the target version.
+	credit float64
+	// slackCredit is the same beyond the share.
+	slackCredit float64
+	// calls are this node's requests since the order, sent those that went to the target
+	// version. reportedSent are those that the sums may include already.
+	calls, sent, reportedSent uint64
+	// own are this node's contributions by route.
+	own map[string][]uint64
+	// ownBefore are those of all routes when the current phase began.
+	ownBefore routeEvidence
+	// heardAt is when the node last heard of the order from a peer.
+	heardAt               time.Time
+	hasPeers              bool
+	hasCurrent, hasTarget bool
+	sums                  meshSums
+	sumsAt                time.Time
+	history               []sample
+	// phaseAt is when the current phase began.
+	phaseAt time.Time
+	verdict Verdict
+}
+
+// meshSums are the decoded sums over all nodes.
+type meshSums struct {
+	calls, sent, switched uint64
+	nodes                 int
+	routes                map[string]routeEvidence
+	// slowAboveAll applies to routes without a threshold of their own.
+	slowAboveAll time.Duration
+}
+
+func newTracker(now time.Time, cfg Config, s State, seed uint64) *tracker {
+	return &tracker{
+		cfg: cfg, state: s, credit: phaseOffset(seed, s.Service, s.Order), slackCredit: phaseOffset(seed+1, s.Service, s.Order),
+		own: make(map[string][]uint64), heardAt: now, phaseAt: now,
+	}
+}
+
+// Elements of the vector of a service as a whole.
+const (
+	fieldCalls = iota
+	fieldSent
+	fieldSwitched
+	totalFields
+)
+
+// prefix returns the key of the service's sums. It contains the order, so that a node that
+// missed an order doesn't add to its successor's evidence.
+func (t *tracker) prefix() string {
+	return t.state.Service + "/" + strconv.FormatUint(t.state.Order, 36)
+}
+
+// counters returns this node's contributions. drained is set if no request of this node
+// runs at the current version.
+func (t *tracker) counters(now time.Time, drained bool, out map[string][]uint64) {
+	if t.state.Phase.Ended() {
+		return
+	}
+	total := make([]uint64, totalFields)
+	total[fieldCalls], total[fieldSent] = t.calls, t.sent
+	if t.state.Phase == Switched && drained && !t.alone(now) {
+		total[fieldSwitched] = 1
+	}
+	t.reportedSent = t.sent
+	out[t.prefix()] = total
+	for route, v := range t.own {
+		out[t.prefix()+"/"+route] = slices.Clone(v)
+	}
+}
+
+// setSums takes the sums over all nodes.
+func (t *tracker) setSums(now time.Time, all map[string][]uint64, nodes int) {
+	prefix := t.prefix()
+	total, ok := all[prefix]
+	if !ok {
+		return
+	}
+	s := meshSums{nodes: nodes}
+	total = append(slices.Clone(total), make([]uint64, totalFields)...)
+	s.calls, s.sent, s.switched = total[fieldCalls], total[fieldSent], total[fieldSwitched]
+	vectors := make(map[string][]uint64)
+	for key, v := range all {
+		if route, ok := strings.CutPrefix(key, prefix+"/"); ok {
+			vectors[route] = v
+		}
+	}
+	s.routes, s.slowAboveAll = decodeAll(vectors), pooledThreshold(vectors)
+	t.sums, t.sumsAt = s, now
+	if n := len(t.history); n == 0 || now.Sub(t.history[n-1].at) >= sampleInterval {
+		t.history = append(t.history, sample{now, s.routes})
+		if len(t.history) > maxSamples {
+			t.history = t.history[1:]
+		}
+	}
+}
+
+// observe counts the end of an attempt.
+func (t *tracker) observe(o Outcome) {
+	if t.state.Phase.Ended() || t.state.Target == t.state.Current {
+		return
+	}
+	route := o.Route
+	v := t.own[route]
+	if v == nil {
+		if len(t.own) >= maxRoutes {
+			route = otherRoute
+		}
+		if v = t.own[route]; v == nil {
+			v = make([]uint64, vectorSize)
+			t.own[route] = v
+		}
+	}
+	at := 0
+	if o.Version == t.state.Target {
+		at = groupsOffset + targetGroup(o.Host)*fieldCount
+	}
+	v[at+fieldAnswers]++
+	switch {
+	case o.Failed:
+		v[at+fieldFailed]++
+		return
+	case o.Broken:
+		v[at+fieldBroken]++
+		return
+	case o.Cold:
+		return
+	}
+	if at == 0 {
+		v[fieldCount+bucket(o.Duration)]++
+	}
+	if slow := cmp.Or(t.sums.routes[route].slowAbove, t.sums.slowAboveAll); slow > 0 {
+		v[at+fieldTimed]++
+		if o.Duration > slow {
+			v[at+fieldSlow]++
+		}
+	}
+}
+
+func targetGroup(host string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(host))
+	return int(h.Sum32() % targetGroups)
+}
+
+// step decides whether the roll-out goes on to another phase.
+func (t *tracker) step(now time.Time, f Fleet) {
+	s := &t.state
+	t.hasPeers = f.Members > 1
+	t.hasTarget = f.Targets[s.Target] > 0
+	t.hasCurrent = false
+	for version, n := range f.Targets {
+		t.hasCurrent = t.hasCurrent || (n > 0 && s.allows(version, false))
+	}
+	if s.Phase.Ended() {
+		return
+	}
+	if s.Current == "" {
+		s.Current = mostUsed(f.Versions, s.Target)
+	}
+	if s.Target == s.Current {
+		t.enter(now, Switched)
+		return
+	}
+	t.verdict = t.judgeAll(f.Targets[s.Target])
+	if t.verdict.Bad || (t.verdict.Doubtful && s.progress(now) >= giveUpAt) {
+		t.enter(now, RolledBack)
+		return
+	}
+	t.advance(now, f)
+}
+
+// mostUsed returns the version with the most slots that is not target; target if there is
+// no other.
+func mostUsed(slots map[string]int, target string) string {
+	best := ""
+	for version, n := range slots {
+		if version == target || version == "" {
+			continue
+		}
+		if best == "" || n > slots[best] || (n == slots[best] && version < best) {
+			best = version
+		}
+	}
+	if best == "" && slots[target] > 0 && slots[""] == 0 {
+		return target
+	}
+	return best
+}
+
+// advance goes on to the next phase when its time has come. A node goes on only by sums of
+// more than half of the members, so that a part of the mesh that is cut off does not.
+func (t *tracker) advance(now time.Time, f Fleet) {
+	progress := t.state.progress(now)
+	if t.state.Phase < Switched && !t.hasTarget {
+		if progress >= giveUpAt && !t.alone(now) {
+			t.verdict = Verdict{Cause: "no target"}
+			t.enter(now, RolledBack)
+		}
+		return
+	}
+	if t.state.Phase >= Switched || t.verdict.Doubtful {
+		return
+	}
+	known := t.sums.nodes
+	if now.Sub(t.sumsAt) > sumsMaxAge {
+		known = 0
+	}
+	if 2*max(known, 1) <= f.Members || t.alone(now) || (known == 0 && f.Members > 1) {
+		return
+	}
+	if progress < fullSlotsUntil && float64(f.Versions[t.state.Target]) < minSlotShare*float64(f.Versions[t.state.Current]) {
+		return
+	}
+	begins := [...]float64{Ramping: rampAt, Mostly: mostlyAt, Switched: switchAt}
+	next := t.state.Phase + 1
+	if progress >= begins[next] && now.Sub(t.phaseAt) >= t.minPhase()*9/10 {
+		t.enter(now, next)
+	}
+}
+
+// minPhase is the least duration of a phase: the evidence that it gives must have arrived
+// before the next one begins.
+func (t *tracker) minPhase() time.Duration {
+	switch t.state.Phase {
+	case Ramping:
+		return t.part(mostlyAt - rampAt)
+	case Mostly:
+		return t.part(switchAt - mostlyAt)
+	default:
+		return 0
+	}
+}
+
+// part returns a part of the time limit.
+func (t *tracker) part(p float64) time.Duration {
+	return time.Duration(p * float64(t.state.Duration))
+}
+
+// completable reports whether the status may say that the roll-out is completed: all nodes
+// have switched, or those that have not can't be asked.
+func (t *tracker) completable(now time.Time, f Fleet) bool {
+	if t.state.Phase != Switched || t.verdict.Doubtful || now.Sub(t.sumsAt) > sumsMaxAge {
+		return false
+	}
+	progress := t.state.progress(now)
+	if t.state.Target != t.state.Current && progress < completeAt {
+		return false
+	}
+	switched := int(t.sums.switched)
+	if switched >= f.Members {
+		return true
+	}
+	return progress >= forceAt && 2*switched > f.Members && switched >= t.sums.nodes
+}
+
+func (t *tracker) enter(now time.Time, p Phase) {
+	if p > t.state.Phase {
+		t.state.Phase, t.phaseAt = p, now
+		t.ownBefore = pooled(decodeAll(t.own))
+	}
+}
