peer: frame Rollout

Roll-outs are flooded when they change, repeated each second while they are open, and sent whole on each new link, so that a node that was restarted or cut off knows them, or knows that there are none. Sent only in deployments with roll-outs, or once there is an order.

--- a/briarrockd/peer/frame.go
+++ b/briarrockd/peer/frame.go
@@ -285,6 +285,8 @@
 		return decode(b[1:], func(f Sums) bool { return validCounters(f.Counters) && len(f.Domain) <= maxNameSize })
 	case codeTotals:
 		return decode(b[1:], func(f Totals) bool { return validCounters(f.Counters) })
+	case codeRollout:
+		return decode(b[1:], Rollout.valid)
 	case codeFloorNotice:
 		return decode(b[1:], func(FloorNotice) bool { return true })
 	default:
--- a/briarrockd/peer/member.go
+++ b/briarrockd/peer/member.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	for i := range m.Targets {
-		if len(m.Targets[i].Service) > maxNameSize {
+		if max(len(m.Targets[i].Service), len(m.Targets[i].Version)) > maxNameSize {
 			return false
 		}
 	}
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -101,6 +101,9 @@
 	// decides whether this node polls (Watch), receives the results (Committed, Polled)
 	// and does not read the head or the object store itself.
 	DelegatePolling bool
+	// Rollouts is set if the deployment has roll-outs. A new peer is then told of all
+	// orders, also if there are none.
+	Rollouts bool
 }
 
 // Core holds the state of one node's gossip protocol and makes its decisions. Use New
@@ -131,6 +134,7 @@
 	reports  reports
 	crashes  crashTable
 	sums     sums
+	rollouts rollouts
 }
 
 // link is one open link.
@@ -232,6 +236,8 @@
 		c.onCrashed(m)
 	case CountersChanged:
 		c.onCountersChanged(m.Counters)
+	case RolloutsChanged:
+		c.onRolloutsChanged(m)
 	case Leave:
 		c.leave()
 	}
@@ -261,6 +267,7 @@
 	c.tickReport()
 	c.tickCrashes()
 	c.tickSums()
+	c.tickRollouts()
 	if c.membersChanged {
 		c.membersChanged = false
 		c.emit(PublishMembers{c.liveMembers()})
@@ -318,6 +325,8 @@
 		c.onSums(l, f)
 	case Totals:
 		c.onTotals(l, f)
+	case Rollout:
+		c.onRollout(l, f)
 	default:
 		// A second Hello on an open link violates the protocol.
 		c.log(event.PeerGarbage, event.Fields{event.Subject: l.host})
--- a/briarrockd/peer/rules_test.go
+++ b/briarrockd/peer/rules_test.go
@@ -356,6 +356,7 @@
 		CrashReport{Print: 4},
 		FloorNotice{2},
 		VersionAck{3},
+		Rollout{States: []RolloutState{{Service: "s", Order: 3, Target: "v2", Duration: 12000}}},
 	} {
 		b, err := EncodeFrame(f)
 		c.Assert(err, qt.IsNil)
--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -435,6 +435,7 @@
 		c.raiseRemoteFloor(l.id, hello.RemoteFloor)
 	}
 	c.onPeerVersion(l, hello.Version, hello.Hash)
+	c.sendRollouts(l)
 	if c.shouldIntroduce(l, hello) {
 		l.introductionUntil = c.now.Add(introductionPeriod)
 		c.introduce(l)
--- a/briarrockd/peer/transport.go
+++ b/briarrockd/peer/transport.go
@@ -58,6 +58,8 @@
 	Watch func(Watch)
 	// PublishSums may be nil if the sums are not used.
 	PublishSums func(PublishSums)
+	// PublishRollouts may be nil if there are no roll-outs.
+	PublishRollouts func(PublishRollouts)
 }
 
 // Transport runs a Core: it owns the goroutines, the connections to peers and the
@@ -230,6 +232,10 @@
 		if t.hooks.PublishSums != nil {
 			t.hooks.PublishSums(c)
 		}
+	case PublishRollouts:
+		if t.hooks.PublishRollouts != nil {
+			t.hooks.PublishRollouts(c)
+		}
 	case Log:
 		t.log.Emit(c.Event, c.Fields)
 	}
--- a/briarrockd/rollout/evidence.go
+++ b/briarrockd/rollout/evidence.go
@@ -23,7 +23,8 @@
 const (
 	// targetGroups is the number of groups of targets. A fault of one target is in one
 	// group, a fault of the version in all of them.
-	targetGroups = 8
+	targetGroups = 7
+	// A vector of the mesh-wide sums has at most 64 elements, see package peer.
 	// histogramSize is the number of buckets of durations, of which the first one ends at
 	// firstBucket and each further one at histogramBase times the one before: up to 7 s.
 	histogramSize = 22
@@ -186,13 +187,10 @@
 	Rate, BaseRate float64
 }
 
-// Numbers of targets of the target version from which on the worst group of them is left
-// out, so that a fault of one target is not taken as one of the version. A target that
-// answers with failures has seldom one of its host.
-const (
-	minSpread       = 3
-	minSpreadFailed = 6
-)
+// minSpread is the number of targets of the target version from which on a fault of one
+// target is told from one of the version: the worst group of targets is left out. Failures
+// are seldom due to a host, so as many of that group count as all others have, and one.
+const minSpread = 3
 
 // judge tests the target version, which has a number of targets, by the evidence for one
 // route.
@@ -203,15 +201,14 @@
 		total, bad int
 		floor      float64
 		steps      []float64
-		spread     int
 	}{
-		{"failed", fieldAnswers, fieldFailed, failedFloor, failedSteps, minSpreadFailed},
-		{"broken", fieldAnswers, fieldBroken, brokenFloor, brokenSteps, minSpread},
-		{"slow", fieldTimed, fieldSlow, slowFloor, slowSteps, minSpread},
+		{"failed", fieldAnswers, fieldFailed, failedFloor, failedSteps},
+		{"broken", fieldAnswers, fieldBroken, brokenFloor, brokenSteps},
+		{"slow", fieldTimed, fieldSlow, slowFloor, slowSteps},
 	} {
 		base := baseRate(e.current[x.bad], e.current[x.total], x.floor)
 		worst := -1
-		if targets >= x.spread {
+		if targets >= minSpread {
 			for g := range e.groups {
 				if worst < 0 || e.groups[g][x.bad] > e.groups[worst][x.bad] {
 					worst = g
@@ -219,6 +216,12 @@
 			}
 		}
 		c := e.next(worst)
+		if worst >= 0 && x.bad == fieldFailed {
+			g := e.groups[worst]
+			counted := min(g[x.bad], c[x.bad]+1)
+			c[x.total] += g[x.total] - g[x.bad] + counted
+			c[x.bad] += counted
+		}
 		ratio := likelihoodRatio(min(c[x.bad], c[x.total]), c[x.total], base, x.steps)
 		if ratio < doubtLimit {
 			continue
--- a/briarrockd/rollout/share.go
+++ b/briarrockd/rollout/share.go
@@ -91,6 +91,10 @@
 		if t.alone(now) {
 			return quietShare * t.cfg.Share
 		}
+		if t.verdict.Doubtful {
+			// More answers have to show whether the doubt is right.
+			return startShare * t.cfg.Share
+		}
 		if t.state.Phase == Ramping {
 			return rampShare
 		}
@@ -121,10 +125,25 @@
 	return float64(t.sums.sent) >= observeShare*(t.cfg.Share*expected+float64(t.cfg.Slack))
 }
 
-// alone reports whether the node has peers but has not heard from any for some time. The
-// roll-out may have been rolled back meanwhile.
+// alone reports whether the node is cut off, so that the roll-out may have been rolled back
+// without its knowledge: it has peers but has not heard from any for some time or, while
+// more than the first share is sent, the sums include no more than half of the mesh.
 func (t *tracker) alone(now time.Time) bool {
-	return t.hasPeers && now.Sub(t.heardAt) > aloneAfter
+	if t.members <= 1 {
+		return false
+	}
+	if now.Sub(t.heardAt) > aloneAfter {
+		return true
+	}
+	return t.state.Phase >= Ramping && t.state.Phase <= Switched && 2*t.freshNodes(now) <= t.members
+}
+
+// freshNodes returns the number of nodes that the sums include; 0 if they are old.
+func (t *tracker) freshNodes(now time.Time) int {
+	if now.Sub(t.sumsAt) > sumsMaxAge {
+		return 0
+	}
+	return t.sums.nodes
 }
 
 // begin counts a request and decides which version its first attempt goes to.
--- a/briarrockd/rollout/tracker.go
+++ b/briarrockd/rollout/tracker.go
@@ -69,7 +69,7 @@
 )
 
 // sumsMaxAge is the age up to which sums are good enough to go on to the next phase.
-const sumsMaxAge = 3 * time.Second
+const sumsMaxAge = 2500 * time.Millisecond
 
 // tracker holds a node's state of the roll-out of one service.
 type tracker struct {
@@ -88,7 +88,7 @@
 	ownBefore routeEvidence
 	// heardAt is when the node last heard of the order from a peer.
 	heardAt               time.Time
-	hasPeers              bool
+	members               int
 	hasCurrent, hasTarget bool
 	sums                  meshSums
 	sumsAt                time.Time
@@ -122,10 +122,16 @@
 	totalFields
 )
 
+// Prefix is the prefix of the keys of roll-outs in the mesh-wide sums.
+const Prefix = "v/"
+
+// maxRouteName bounds the name of a route in the keys of the sums, in bytes.
+const maxRouteName = 96
+
 // prefix returns the key of the service's sums. It contains the order, so that a node that
 // missed an order doesn't add to its successor's evidence.
 func (t *tracker) prefix() string {
-	return t.state.Service + "/" + strconv.FormatUint(t.state.Order, 36)
+	return Prefix + t.state.Service + "/" + strconv.FormatUint(t.state.Order, 36)
 }
 
 // counters returns this node's contributions. drained is set if no request of this node
@@ -177,7 +183,7 @@
 	if t.state.Phase.Ended() || t.state.Target == t.state.Current {
 		return
 	}
-	route := o.Route
+	route := o.Route[:min(len(o.Route), maxRouteName)]
 	v := t.own[route]
 	if v == nil {
 		if len(t.own) >= maxRoutes {
@@ -223,7 +229,7 @@
 // step decides whether the roll-out goes on to another phase.
 func (t *tracker) step(now time.Time, f Fleet) {
 	s := &t.state
-	t.hasPeers = f.Members > 1
+	t.members = f.Members
 	t.hasTarget = f.Targets[s.Target] > 0
 	t.hasCurrent = false
 	for version, n := range f.Targets {
@@ -279,11 +285,7 @@
 	if t.state.Phase >= Switched || t.verdict.Doubtful {
 		return
 	}
-	known := t.sums.nodes
-	if now.Sub(t.sumsAt) > sumsMaxAge {
-		known = 0
-	}
-	if 2*max(known, 1) <= f.Members || t.alone(now) || (known == 0 && f.Members > 1) {
+	if t.alone(now) || (f.Members > 1 && 2*t.freshNodes(now) <= f.Members) {
 		return
 	}
 	if progress < fullSlotsUntil && float64(f.Versions[t.state.Target]) < minSlotShare*float64(f.Versions[t.state.Current]) {
