peer, caller, target, node, platform: roll-outs

Targets announce the version of their software, which the mesh passes on where there are roll-outs. The choice of an upstream keeps to the version that the roll-out allows, repeats and hedges included; attempts are counted where they end, and a request pinned to a version is refused by a host whose target has another.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -49,6 +49,7 @@
 // is unread.
 func (p *Proxy) sendAttempt(ctx context.Context, c *call, u upstream) attempt {
 	p.attempts.Inc()
+	began := time.Now()
 	body, length := c.payload()
 	withheld := c.withholdsBody(u)
 	res, out := relay.Send(ctx, relay.Call{
@@ -74,6 +75,7 @@
 		}
 		p.counters.crossedRegions(c.routeName(), bytes)
 	}
+	p.observeVersion(c, u, &a, out, time.Since(began))
 	p.deps.Balancer.done(time.Now(), c.service.Name, u.host, a.feedback(c, out))
 	return a
 }
@@ -143,6 +145,9 @@
 	if u.otherRegion {
 		h.Set(target.HeaderCrossRegion, "yes")
 	}
+	if u.pinned && u.version != "" {
+		h.Set(target.HeaderVersion, u.version)
+	}
 	if !c.aim.IsZero() {
 		h.Set(target.HeaderAim, strconv.FormatInt(time.Until(c.aim).Milliseconds(), 10))
 	}
--- a/briarrockd/caller/attempts.go
+++ b/briarrockd/caller/attempts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"briarrock.example/briarrockd/relay"
+	"briarrock.example/briarrockd/rollout"
 	"briarrock.example/briarrockd/target"
 	"briarrock.example/mesh/kind"
 	"briarrock.example/mesh/snapshot"
@@ -35,6 +36,8 @@
 	reachedTarget int // attempts that reached a target
 	reroutes      int // attempts that did not reach a target
 	hedged        bool
+	// choice is which versions the next attempt may run at.
+	choice rollout.Choice
 	// mayHaveRun is set when the request may have run in an earlier attempt.
 	mayHaveRun bool
 	// minRetryAfter is the shortest delay before a retry that a refusal named; 0 if none
@@ -89,7 +92,7 @@
 // startAttempt starts an attempt at an upstream that has not been tried. If there is none
 // it returns false and the reason.
 func (x *attempts) startAttempt(what string) (refusal, bool) {
-	u, ref, ok := x.p.deps.Balancer.pick(time.Now(), x.c.service.Name, x.c.upstreams, x.tried, x.c.route.Priority)
+	u, ref, ok := x.pick(time.Now())
 	if !ok {
 		return ref, false
 	}
@@ -101,9 +104,10 @@
 	// would be wasted.
 	ctx, cancel := context.WithCancel(context.WithoutCancel(x.c.r.Context()))
 	stop := context.AfterFunc(x.c.r.Context(), cancel)
+	ended := x.p.deps.Rollouts.Started(x.c.service.Name, u.version)
 	go func() {
 		a := x.p.sendAttempt(ctx, x.c, u)
-		a.cancel = func() { stop(); cancel() }
+		a.cancel = func() { stop(); cancel(); ended() }
 		x.results <- a
 	}()
 	return refusal{}, true
--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -30,6 +30,7 @@
 	"briarrock.example/briarrockd/claim"
 	"briarrock.example/briarrockd/peer"
 	"briarrock.example/briarrockd/relay"
+	"briarrock.example/briarrockd/rollout"
 	"briarrock.example/briarrockd/target"
 	"briarrock.example/mesh/event"
 	"briarrock.example/mesh/kind"
@@ -63,6 +64,9 @@
 	Proven func() bool
 	// Allowance limits the requests of workspaces. Nil means no limits.
 	Allowance Allowance
+	// Rollouts decides which versions of a service's targets a request may run at. Nil
+	// means all.
+	Rollouts *rollout.Registry
 	// Authenticate returns the caller's name by the request's headers; false if the
 	// request is not from a permitted caller.
 	Authenticate func(h http.Header) (string, bool)
--- a/briarrockd/caller/table.go
+++ b/briarrockd/caller/table.go
@@ -52,6 +52,10 @@
 	slots  int
 	// incarnation identifies the process of the host's node: a restarted one has another.
 	incarnation uint64
+	// version is the version of its software; empty if unknown.
+	version string
+	// pinned is set on the upstream of an attempt that may only run at this version.
+	pinned bool
 	// otherRegion is set by the Balancer on an upstream in another region, and overloaded
 	// on one of a service with an upstream that was full recently.
 	otherRegion, overloaded bool
@@ -136,7 +140,7 @@
 		}
 		t.upstreams[x.Service] = append(t.upstreams[x.Service], upstream{
 			host: m.Host, addr: m.CallAddr, domain: m.Domain, region: m.Region,
-			slots: min(x.Slots, svc.Slots), incarnation: m.Incarnation,
+			slots: min(x.Slots, svc.Slots), incarnation: m.Incarnation, version: x.Version,
 		})
 	}
 }
--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -31,6 +31,7 @@
 	"briarrock.example/briarrockd/operator"
 	"briarrock.example/briarrockd/peer"
 	"briarrock.example/briarrockd/relay"
+	"briarrock.example/briarrockd/rollout"
 	"briarrock.example/briarrockd/settings"
 	"briarrock.example/briarrockd/target"
 	"briarrock.example/mesh/event"
@@ -74,6 +75,7 @@
 	budget    *caller.Budget
 	platform  Platform
 	watch     *WatchHandle
+	rollouts  *rollout.Registry
 	wg        sync.WaitGroup
 
 	// mu guards the inputs of the next table and the crash counts by a request's
@@ -120,6 +122,7 @@
 	if d.Platform != nil {
 		n.platform = *d.Platform
 	}
+	n.rollouts = n.newRollouts()
 	n.start(store, d)
 	n.log.Emit(event.Started, event.Fields{"domain": cfg.Domain, "region": cfg.Region, "caller": cfg.CallerAddr, "plain": cfg.Security.Plain})
 	return n, nil
@@ -182,6 +185,7 @@
 		OnCrash:    func(c peer.Crashed) { n.sendToCore(c) },
 		CrashCount: n.crashCount,
 		Log:        n.log, Metrics: n.metrics, StallTimeout: n.cfg.StallTimeout,
+		Versions:      n.usesVersions,
 		WrapTransport: n.platform.WrapTargets, ResponseMatches: n.platform.ResponseMatches, AnnouncementTimeout: n.platform.AnnouncementTimeout, LinkBytesPerSecond: n.platform.LinkBytesPerSecond, NoFairQueueing: n.platform.CallerName != "",
 	})
 	n.claims = claim.New(claim.Deps{Store: store, Log: n.log, Host: n.cfg.Host, Metrics: n.metrics, Forward: n.forwardClaims})
@@ -192,13 +196,13 @@
 		Budget:   n.budget, Claims: n.claims,
 		Transport: n.transport, Scheme: n.scheme(), CrashCount: n.crashCount, IsRunning: n.targets.IsRunning,
 		Authenticate: n.callerIdentifier(), Log: n.log, Metrics: n.metrics, StallTimeout: n.cfg.StallTimeout,
-		Hedge: d.Platform != nil,
+		Hedge: d.Platform != nil, Rollouts: n.rollouts,
 	})
-	n.watch = newWatchHandle(n.sendToCore, n.log)
+	n.watch = newWatchHandle(n)
 	n.peers = peer.NewTransport(n.peerConfig(), peer.Deps{
 		Store: store, Log: n.log, Metrics: n.metrics, Credentials: n.peerKeys(), Listener: n.listeners[peerListener], Seed: rand.Uint64(),
 		Dial: d.Dial, CommitClaims: n.claims.CommitForwarded,
-		Hooks: peer.Hooks{ServeVersion: n.useVersion, PublishMembers: n.useMembers, HeldRequest: n.setCrashCount, Watch: n.watch.setTurn},
+		Hooks: peer.Hooks{ServeVersion: n.useVersion, PublishMembers: n.useMembers, HeldRequest: n.setCrashCount, Watch: n.watch.setTurn, PublishSums: n.useSums, PublishRollouts: n.useRollouts},
 	})
 	n.operators = operator.New(operator.Deps{
 		Host: n.cfg.Host, Store: store, Peers: n.peers, Log: n.log, Metrics: n.metrics,
@@ -212,6 +216,7 @@
 	if run := n.platform.Watch; run != nil {
 		n.wg.Go(func() { run(n.ctx, n.watch) })
 	}
+	n.startRollouts()
 }
 
 // serveAll starts the servers of all listeners but that of the peers.
@@ -274,6 +279,7 @@
 		ExpectedHosts:   n.cfg.ExpectedHosts,
 		DelegatePolling: n.platform.Watch != nil,
 		Bootstrap:       n.platform.Bootstrap,
+		Rollouts:        n.platform.Rollout.Share > 0,
 	}
 }
 
--- a/briarrockd/node/platform.go
+++ b/briarrockd/node/platform.go
@@ -18,6 +18,8 @@
 	// Watch polls the platform while it is this node's turn, until ctx ends. If
 	// it is set, the node reads no versions itself.
 	Watch func(ctx context.Context, h *WatchHandle)
+	// WriteRollouts writes the status of roll-outs to the platform, until ctx ends.
+	WriteRollouts func(ctx context.Context, h *WatchHandle)
 	// WrapCallers wraps the handler of callers' requests.
 	WrapCallers func(http.Handler) http.Handler
 	// WrapTargets wraps the transport to targets.
@@ -98,6 +100,7 @@
 // WatchHandle connects Platform.Watch with the node: the watch gets its turns from
 // it and reports results through it.
 type WatchHandle struct {
+	node *Node
 	send func(peer.Msg)
 	log  *event.Log
 
@@ -106,8 +109,8 @@
 	changed chan struct{} // closed when turn changes
 }
 
-func newWatchHandle(send func(peer.Msg), log *event.Log) *WatchHandle {
-	return &WatchHandle{send: send, log: log, changed: make(chan struct{})}
+func newWatchHandle(n *Node) *WatchHandle {
+	return &WatchHandle{node: n, send: n.sendToCore, log: n.log, changed: make(chan struct{})}
 }
 
 // setTurn sets whether and how this node polls the platform, as the Core decided.
--- /dev/null
+++ b/briarrockd/peer/rollout_test.go
@@ -0,0 +1,128 @@
+package peer
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"briarrock.example/briarrockd/rollout"
+)
+
+// rolloutMesh is a simMesh of 30 hosts in three regions with roll-outs.
+type rolloutMesh struct {
+	*simMesh
+	known     map[*simHost]rollout.State
+	confirmed map[*simHost]bool
+	frames    int
+}
+
+func startRollouts(seed uint64, enabled bool) *rolloutMesh {
+	regions := make([]Member, 0, len(places))
+	for i, p := range places[:3] {
+		p.Region = string(rune('a' + i))
+		regions = append(regions, p)
+	}
+	f := &rolloutMesh{simMesh: newSimMesh(seed, regions, 10), known: make(map[*simHost]rollout.State), confirmed: make(map[*simHost]bool)}
+	f.onRollouts = func(h *simHost, p PublishRollouts) {
+		for _, s := range p.States {
+			f.known[h] = s
+		}
+		f.confirmed[h] = f.confirmed[h] || p.Confirmed
+	}
+	f.onStep = func(step string, _ *simHost) {
+		if step == "rollout" {
+			f.frames++
+		}
+	}
+	for _, h := range f.nodes {
+		h.cfg.Rollouts = enabled
+		f.start(h)
+	}
+	f.advance(10 * time.Second)
+	return f
+}
+
+// restart kills a host and starts it again.
+func (f *rolloutMesh) restart(h *simHost) {
+	f.kill(h)
+	delete(f.known, h)
+	delete(f.confirmed, h)
+	f.start(h)
+}
+
+// knownBy returns the number of hosts that know a phase of the order, among those of a part
+// of the mesh; nil for all.
+func (f *rolloutMesh) knownBy(order uint64, phase rollout.Phase, part func(*simHost) bool) int {
+	n := 0
+	for _, h := range f.nodes {
+		if s := f.known[h]; (part == nil || part(h)) && s.Order == order && s.Phase == phase {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRolloutFlood guards against hosts that miss an order or its end: ordinary ones, hosts
+// that are restarted, and those that were cut off; and against ages that begin anew.
+func TestRolloutFlood(t *testing.T) {
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			f := startRollouts(seed, true)
+			first := f.nodes[seed%10]
+			began := time.Now()
+			s := rollout.State{Service: "s", Order: 3, Target: "v2", Current: "v1", Duration: time.Minute, StartedAt: began}
+			f.known[first], f.confirmed[first] = s, true
+			f.deliver(first, RolloutsChanged{States: []rollout.State{s}, Confirmed: true})
+			f.advance(600 * time.Millisecond)
+			c.Check(f.knownBy(3, rollout.Observing, nil), qt.Equals, 30)
+			c.Check(len(f.confirmed), qt.Equals, 30)
+
+			late := f.nodes[17]
+			f.restart(late)
+			f.advance(3 * time.Second)
+			c.Check(f.known[late].Order, qt.Equals, uint64(3))
+			c.Check(f.confirmed[late], qt.IsTrue)
+			off := f.known[late].StartedAt.Sub(began)
+			c.Check(off.Abs() < time.Second, qt.IsTrue, qt.Commentf("start is off by %v", off))
+
+			cut := "a"
+			if first.cfg.Self.Region == cut {
+				cut = "b"
+			}
+			inside := func(h *simHost) bool { return h.cfg.Self.Region == cut }
+			f.isolated[cut] = true
+			f.advance(5 * time.Second)
+			s.Phase = rollout.RolledBack
+			f.known[first] = s
+			f.deliver(first, RolloutsChanged{States: []rollout.State{s}})
+			f.advance(600 * time.Millisecond)
+			c.Check(f.knownBy(3, rollout.RolledBack, nil), qt.Equals, 20)
+			c.Check(f.knownBy(3, rollout.Observing, inside), qt.Equals, 10)
+			f.isolated[cut] = false
+			f.advance(15 * time.Second)
+			c.Check(f.knownBy(3, rollout.RolledBack, nil), qt.Equals, 30)
+		})
+	}
+}
+
+// TestRolloutSilent guards against frames in a deployment without roll-outs, and against
+// repeats after a roll-out has ended.
+func TestRolloutSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := startRollouts(1, false)
+		f.restart(f.nodes[4])
+		f.advance(20 * time.Second)
+		c.Check(f.frames, qt.Equals, 0)
+		s := rollout.State{Service: "s", Order: 3, Target: "v2", StartedAt: time.Now(), Phase: rollout.Completed, Written: true}
+		f.deliver(f.nodes[0], RolloutsChanged{States: []rollout.State{s}})
+		f.advance(5 * time.Second)
+		c.Check(f.frames > 0, qt.IsTrue)
+		f.frames = 0
+		f.advance(time.Minute)
+		c.Check(f.frames, qt.Equals, 0)
+	})
+}
--- a/briarrockd/peer/simmesh_test.go
+++ b/briarrockd/peer/simmesh_test.go
@@ -31,6 +31,8 @@
 	onWatch func(h *simHost, w Watch)
 	// onSums is called with each Core's PublishSums commands.
 	onSums func(h *simHost, p PublishSums)
+	// onRollouts is called with each Core's PublishRollouts commands.
+	onRollouts func(h *simHost, p PublishRollouts)
 	// violations collects descriptions of violated invariants.
 	violations []string
 	// lostVersions counts the times that a host served an older version than before
@@ -319,6 +321,8 @@
 		sim.onWatch(h, c)
 	case PublishSums:
 		sim.onSums(h, c)
+	case PublishRollouts:
+		sim.onRollouts(h, c)
 	}
 }
 
@@ -420,7 +424,7 @@
 // stepName returns the name that testdata/matrix.yaml has for the sending of a frame.
 func stepName(fr Frame) string {
 	return [...]string{
-		"", "hello", "beat", "digests", "listing", "wants", "records", "notice", "fetch", "content", "report", "summary", "hold", "known", "have", "fresh", "sums", "totals",
+		"", "hello", "beat", "digests", "listing", "wants", "records", "notice", "fetch", "content", "report", "summary", "hold", "known", "have", "fresh", "sums", "totals", "rollout",
 	}[fr.code()]
 }
 
--- a/briarrockd/rollout/registry.go
+++ b/briarrockd/rollout/registry.go
@@ -221,20 +221,8 @@
 	return out
 }
 
-// Open reports whether a roll-out has not ended yet.
-func (r *Registry) Open() bool {
-	if !r.active.Load() {
-		return false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, t := range r.services {
-		if !t.state.Phase.Ended() {
-			return true
-		}
-	}
-	return false
-}
+// Active reports whether a request has to ask the Registry.
+func (r *Registry) Active() bool { return r.active.Load() }
 
 // States returns the states of all services, sorted by name.
 func (r *Registry) States() []State {
--- a/briarrockd/rollout/tracker.go
+++ b/briarrockd/rollout/tracker.go
@@ -57,8 +57,10 @@
 	probeTime = 0.035
 	probeEnd  = 0.09
 	// forceAt is when nodes that have not reported are no longer waited for: they can't be
-	// reached, or don't run.
-	forceAt = 0.95
+	// reached, or don't run. lastAt is when requests are no longer waited for that still run
+	// at the current version: they take longer than the rest of the time limit.
+	forceAt = 0.90
+	lastAt  = 0.95
 	// giveUpAt is when a version is rolled back of which no target has started, or that is
 	// still in doubt.
 	giveUpAt = 0.94
@@ -100,9 +102,10 @@
 
 // meshSums are the decoded sums over all nodes.
 type meshSums struct {
-	calls, sent, switched uint64
-	nodes                 int
-	routes                map[string]routeEvidence
+	calls, sent     uint64
+	switched, moved int
+	nodes           int
+	routes          map[string]routeEvidence
 	// slowAboveAll applies to routes without a threshold of their own.
 	slowAboveAll time.Duration
 }
@@ -118,7 +121,8 @@
 const (
 	fieldCalls = iota
 	fieldSent
-	fieldSwitched
+	fieldSwitched // nodes that send to the target version only and run nothing elsewhere
+	fieldMoved    // the same, but requests that were sent before may still run
 	totalFields
 )
 
@@ -142,8 +146,11 @@
 	}
 	total := make([]uint64, totalFields)
 	total[fieldCalls], total[fieldSent] = t.calls, t.sent
-	if t.state.Phase == Switched && drained && !t.alone(now) {
-		total[fieldSwitched] = 1
+	if t.state.Phase == Switched && !t.alone(now) {
+		total[fieldMoved] = 1
+		if drained {
+			total[fieldSwitched] = 1
+		}
 	}
 	t.reportedSent = t.sent
 	out[t.prefix()] = total
@@ -161,7 +168,8 @@
 	}
 	s := meshSums{nodes: nodes}
 	total = append(slices.Clone(total), make([]uint64, totalFields)...)
-	s.calls, s.sent, s.switched = total[fieldCalls], total[fieldSent], total[fieldSwitched]
+	s.calls, s.sent = total[fieldCalls], total[fieldSent]
+	s.switched, s.moved = int(total[fieldSwitched]), int(total[fieldMoved])
 	vectors := make(map[string][]uint64)
 	for key, v := range all {
 		if route, ok := strings.CutPrefix(key, prefix+"/"); ok {
@@ -240,6 +248,9 @@
 	}
 	if s.Current == "" {
 		s.Current = mostUsed(f.Versions, s.Target)
+		if s.Current == "" && f.Versions[s.Target] > 0 && f.Versions[""] == 0 && now.Sub(s.StartedAt) >= membersDelay {
+			s.Current = s.Target
+		}
 	}
 	if s.Target == s.Current {
 		t.enter(now, Switched)
@@ -253,8 +264,12 @@
 	t.advance(now, f)
 }
 
-// mostUsed returns the version with the most slots that is not target; target if there is
-// no other.
+// membersDelay is how old an order must be before a version counts as the one in use since
+// there are no targets of another one: the records of members may not have arrived yet.
+const membersDelay = 2 * time.Second
+
+// mostUsed returns the version with the most slots that is not target; empty if there is
+// none.
 func mostUsed(slots map[string]int, target string) string {
 	best := ""
 	for version, n := range slots {
@@ -265,9 +280,6 @@
 			best = version
 		}
 	}
-	if best == "" && slots[target] > 0 && slots[""] == 0 {
-		return target
-	}
 	return best
 }
 
@@ -326,11 +338,15 @@
 	if t.state.Target != t.state.Current && progress < completeAt {
 		return false
 	}
-	switched := int(t.sums.switched)
-	if switched >= f.Members {
+	s := &t.sums
+	switch {
+	case s.switched >= f.Members:
+		return true
+	case progress >= lastAt && 2*s.moved > f.Members && s.moved >= s.nodes:
 		return true
+	default:
+		return progress >= forceAt && 2*s.switched > f.Members && s.switched >= s.nodes
 	}
-	return progress >= forceAt && 2*switched > f.Members && switched >= t.sums.nodes
 }
 
 func (t *tracker) enter(now time.Time, p Phase) {
--- a/briarrockd/target/announce.go
+++ b/briarrockd/target/announce.go
@@ -129,7 +129,7 @@
 	if isNew && !admitted {
 		t.wg.Go(func() { t.awaitHealthy(x) })
 	}
-	if isNew || admitted || old.Slots != a.Slots || old.State != a.State {
+	if isNew || admitted || old.Slots != a.Slots || old.State != a.State || old.Version != a.Version {
 		t.notifyChange()
 	}
 }
--- a/briarrockd/target/observe_test.go
+++ b/briarrockd/target/observe_test.go
@@ -242,7 +242,7 @@
 				ts.HandleAnnouncement(Announcement{Service: "posting", Addr: "10.0.0.7:81", Slots: 4, State: StateUp})
 				second := ts.list()[1]
 				second.step(Arrival{ID: 1, Deadline: time.Now().Add(time.Minute)})
-				c.Check(ts.leastLoaded("posting"), qt.Equals, first)
+				c.Check(ts.leastLoaded("posting", ""), qt.Equals, first)
 			})
 		})
 	}
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -33,6 +33,12 @@
 	// HeaderMeanDuration the mean duration of its calls in milliseconds.
 	HeaderLoad         = "Briarrock-Load"
 	HeaderMeanDuration = "Briarrock-Usual"
+	// HeaderVersion is the version of the target that a request is for; empty for any.
+	HeaderVersion = "Briarrock-Version"
+	// HeaderTook reports to the caller's node how long the target took, in microseconds, and
+	// HeaderCold that it has just started. They are only sent for requests with a version.
+	HeaderTook = "Briarrock-Took"
+	HeaderCold = "Briarrock-Cold"
 	// HeaderInstance is the ID of the target that the request is for.
 	HeaderInstance = "Briarrock-Instance"
 	// HeaderTrace is the trace ID of a call, the same on every hop.
@@ -54,6 +60,7 @@
 	trace       string
 	atMostOnce  bool
 	crossRegion bool
+	version     string // the target's version; empty for any
 	// queuedFor is the time from the arrival of the call until it was passed on to the target.
 	queuedFor time.Duration
 }
@@ -80,6 +87,7 @@
 		trace:       r.Header.Get(HeaderTrace),
 		atMostOnce:  r.Header.Get(HeaderAtMostOnce) != "",
 		crossRegion: r.Header.Get(HeaderCrossRegion) != "",
+		version:     r.Header.Get(HeaderVersion),
 	}, true
 }
 
@@ -92,7 +100,12 @@
 		return
 	}
 	t.applyReports(ReadNotices(r.Header, now))
-	x := t.leastLoaded(c.service)
+	x := t.leastLoaded(c.service, c.version)
+	if x == nil && c.version != "" {
+		// The target that the caller's node knows has been replaced by one of another version.
+		t.refuse(w, c, nil, Refuse{Kind: kind.Empty})
+		return
+	}
 	if x == nil {
 		t.refuse(w, c, nil, Refuse{Kind: kind.Drain})
 		return
@@ -141,14 +154,15 @@
 	return true
 }
 
-// leastLoaded returns the target of a service on this host with the lowest load. A draining
-// target looks idle, and is returned only if there is no other.
-func (t *Targets) leastLoaded(service string) *target {
+// leastLoaded returns the target of a service on this host with the lowest load, among those of
+// a version if that is not empty. A draining target looks idle, and is returned only if there is
+// no other.
+func (t *Targets) leastLoaded(service, version string) *target {
 	var best, draining *target
 	minLoad := 0.0
 	for _, x := range t.list() {
 		admitted, isDraining := t.admissionState(x)
-		if x.service != service || !admitted {
+		if x.service != service || !admitted || (version != "" && t.lastAnnouncement(x).Version != version) {
 			continue
 		}
 		if isDraining {
@@ -250,6 +264,12 @@
 	completed.Failed = res.StatusCode >= http.StatusInternalServerError
 	t.logCall(c, x, completed.Duration, strconv.Itoa(res.StatusCode), nil)
 	_ = x.writeLoad(w.Header())
+	if c.version != "" {
+		w.Header().Set(HeaderTook, strconv.FormatInt(completed.Duration.Microseconds(), 10))
+		if t.lastAnnouncement(x).State == StateCold {
+			w.Header().Set(HeaderCold, "yes")
+		}
+	}
 	w.Header().Set(kind.HeaderRan, kind.RanYes.String())
 	out = relay.CopyResponse(w, res, t.deps.StallTimeout)
 	if out.Kind != kind.None {
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -50,6 +50,7 @@
 	maxTargets           = 16
 	maxSlots             = 10000
 	maxConns             = 65535
+	maxVersionSize       = 128 // bytes
 	dialTimeout          = 2 * time.Second
 	idleTimeout          = 60 * time.Second
 )
@@ -68,6 +69,8 @@
 	// announcements. Together they identify announcements that arrive late. 0 if not announced.
 	StartMillis int64 `json:"born,omitempty"`
 	Seq         int64 `json:"seq,omitempty"`
+	// Version is the version of the target's software; empty if not announced.
+	Version string `json:"version,omitempty"`
 }
 
 // Deps are the dependencies and settings of Targets.
@@ -94,6 +97,9 @@
 	// only identifies the host that a call comes from, since fairness between hosts would serve
 	// no purpose.
 	NoFairQueueing bool
+	// Versions, if set, reports whether the versions of targets are of use to the mesh, because
+	// there are roll-outs. Otherwise they are not sent.
+	Versions func() bool
 	// AnnouncementTimeout is the time without an announcement after which a target is removed; 0
 	// for defaultAnnouncementTimeout.
 	AnnouncementTimeout time.Duration
@@ -310,6 +316,8 @@
 		return "addr must be on the host that announces it"
 	case a.Service == "":
 		return "service is missing"
+	case len(a.Version) > maxVersionSize:
+		return "version is too long"
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return "slots is out of range"
 	case a.Connections < 0 || a.Connections > maxConns:
@@ -327,19 +335,29 @@
 	t.notifyMu.Lock()
 	defer t.notifyMu.Unlock()
 	t.mu.Lock()
+	withVersions := t.usesVersions()
 	out := make([]peer.Target, 0, len(t.all))
 	for _, x := range t.all {
-		out = append(out, peer.Target{
+		y := peer.Target{
 			Service:  x.service,
 			Slots:    x.announcement.Slots,
 			Draining: t.draining || !x.admitted || x.isDraining(),
-		})
+		}
+		if withVersions {
+			y.Version = x.announcement.Version
+		}
+		out = append(out, y)
 	}
 	t.mu.Unlock()
 	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
 	t.deps.OnChange(out)
 }
 
+func (t *Targets) usesVersions() bool { return t.deps.Versions != nil && t.deps.Versions() }
+
+// Refresh passes the targets to OnChange again, because Versions has changed.
+func (t *Targets) Refresh() { t.notifyChange() }
+
 // isDraining reports whether the target has announced or reported that it is about to stop. The
 // mutex of Targets must be held.
 func (x *target) isDraining() bool { return x.announcement.State == StateDraining || x.leaving.Load() }
--- a/mesh/event/event.go
+++ b/mesh/event/event.go
@@ -79,6 +79,12 @@
 	AnnounceBad      = Event{512, "announcebad", logrus.WarnLevel}
 	TargetRate       = Event{513, "targetrate", logrus.InfoLevel}
 	AnswerBad        = Event{514, "answerbad", logrus.WarnLevel}
+	RolloutPhase     = Event{530, "rollout", logrus.InfoLevel}
+	RolledBack       = Event{531, "rolledback", logrus.WarnLevel}
+	RolloutCompleted = Event{532, "rolloutdone", logrus.InfoLevel}
+	RolloutOrderBad  = Event{533, "rolloutbad", logrus.WarnLevel}
+	RolloutWritten   = Event{534, "rolloutwritten", logrus.InfoLevel}
+	RolloutUnwritten = Event{535, "rolloutunwritten", logrus.WarnLevel}
 	EditAccepted     = Event{601, "accepted", logrus.InfoLevel}
 	EditConflict     = Event{602, "conflict", logrus.WarnLevel}
 	EditRefused      = Event{603, "invalid", logrus.WarnLevel}
@@ -95,6 +101,7 @@
 		StoreDown, StoreUp, StoreHistoryLost,
 		CallFailed, TargetUp, TargetGone, TargetCrashed, RequestHeld, ClaimLost,
 		CallAnswered, CallGivenUp, RunRefused, RunEnded, TargetState, AnnounceBad, TargetRate, AnswerBad,
+		RolloutPhase, RolledBack, RolloutCompleted, RolloutOrderBad, RolloutWritten, RolloutUnwritten,
 		EditAccepted, EditConflict, EditRefused, EditUnknown, OperatorRefused,
 	}
 }
