--- a/briarrockd/rollout/rollout_test.go
+++ b/briarrockd/rollout/rollout_test.go
@@ -120,6 +120,64 @@
 	}
 }
 
+// TestNeverStarts guards against a version that is completed although no target of it runs.
+func TestNeverStarts(t *testing.T) {
+	c := qt.New(t)
+	r := New(Config{Share: 0.1, Slack: 50}, 1)
+	r.Adopt(start, State{Service: "s", Order: 1, Target: "v2", Duration: 10 * time.Second, StartedAt: start}, false)
+	fleet := func(string) Fleet {
+		return Fleet{Versions: map[string]int{"v1": 6}, Targets: map[string]int{"v1": 1}, Members: 1}
+	}
+	for at := time.Duration(0); at < 9*time.Second; at += 100 * time.Millisecond {
+		r.Step(start.Add(at), fleet)
+	}
+	c.Check(r.States()[0].Phase, qt.Equals, Observing)
+	c.Check(r.States()[0].Current, qt.Equals, "v1")
+	changes := r.Step(start.Add(9500*time.Millisecond), fleet)
+	c.Assert(changes, qt.HasLen, 1)
+	c.Check(changes[0].State.Phase, qt.Equals, RolledBack)
+	c.Check(changes[0].Verdict.Cause, qt.Equals, "no target")
+}
+
+// TestOrdersInTurn guards against requests at the version of an order that was replaced, and
+// against an order back to the version in use that waits for evidence.
+func TestOrdersInTurn(t *testing.T) {
+	c := qt.New(t)
+	r := New(Config{Share: 0.1, Slack: 50}, 1)
+	fleet := func(string) Fleet {
+		return Fleet{Versions: map[string]int{"v1": 6, "v2": 6, "v3": 6}, Targets: map[string]int{"v1": 1, "v2": 1, "v3": 1}, Members: 1}
+	}
+	r.Adopt(start, State{Service: "s", Order: 1, Target: "v2", Current: "v1", Duration: 10 * time.Second, StartedAt: start}, false)
+	r.Adopt(start, State{Service: "s", Order: 5, Target: "v3", Duration: 10 * time.Second, StartedAt: start}, false)
+	r.Adopt(start, State{Service: "s", Order: 1, Target: "v2", Current: "v1", Phase: Completed, Written: true}, false)
+	allows := func() (out []string) {
+		seen := make(map[string]bool)
+		for range 100 {
+			choice := r.Begin(start, "s")
+			for _, v := range []string{"v1", "v2", "v3"} {
+				if choice.Allows(v) && !seen[v] {
+					seen[v] = true
+					out = append(out, v)
+				}
+			}
+		}
+		return out
+	}
+	c.Check(allows(), qt.ContentEquals, []string{"v1", "v3"})
+	r.Adopt(start, State{Service: "s", Order: 7, Target: "v1", Duration: 10 * time.Second, StartedAt: start}, false)
+	r.Step(start, fleet)
+	c.Check(r.States()[0].Phase, qt.Equals, Switched)
+	c.Check(allows(), qt.DeepEquals, []string{"v1"})
+	r.SetSums(start, r.Counters(start), 1)
+	c.Check(r.Completable(start, "s", 7, fleet("s")), qt.IsTrue)
+	ended := r.Started("s", "v3")
+	r.SetSums(start, r.Counters(start), 1)
+	c.Check(r.Completable(start, "s", 7, fleet("s")), qt.IsFalse)
+	ended()
+	r.SetSums(start, r.Counters(start), 1)
+	c.Check(r.Completable(start, "s", 7, fleet("s")), qt.IsTrue)
+}
+
 // TestRepeat guards against a repeat at the version that has just failed, and against one at
 // the current version once this node has said that it runs nothing there.
 func TestRepeat(t *testing.T) {
--- a/briarrockd/rollout/seeds_test.go
+++ b/briarrockd/rollout/seeds_test.go
@@ -23,6 +23,19 @@
 	// noisy lets 1 % of all answers fail, and all of one target of the target version break
 	// for three seconds.
 	noisy bool
+	// faulty restarts a node each second, and cuts a tenth of the nodes off from the others
+	// between cutFrom and cutTo.
+	faulty bool
+}
+
+const (
+	cutFrom = 6 * time.Second
+	cutTo   = 9500 * time.Millisecond
+)
+
+// cut reports whether a node is cut off.
+func (x *rehearsal) cut(node int, at time.Duration) bool {
+	return x.faulty && node*10 < x.nodes && at >= cutFrom && at < cutTo
 }
 
 type rehearsed struct {
@@ -66,22 +79,34 @@
 	var out rehearsed
 	var fiftieth time.Duration
 	recent := 0.0 // share of the requests at the target version
+	latest, sumsNodes := order, make(map[int]int)
 	for tick := range int(rehearsalLimit / rehearsalTick) {
 		at := time.Duration(tick) * rehearsalTick
 		now := start.Add(at)
 		if tick%50 == 0 {
-			for _, n := range nodes {
-				n.Adopt(now, order, true) // peers repeat open orders
+			if x.faulty && tick > 0 {
+				nodes[rng.IntN(x.nodes)] = New(Config{Share: 0.1, Slack: 50}, rng.Uint64())
+			}
+			for i, n := range nodes {
+				if !x.cut(i, at) {
+					n.Confirm()
+					n.Adopt(now, latest, true) // peers repeat open orders
+				}
 			}
 		}
 		for _, s := range floods[tick] {
-			for _, n := range nodes {
-				n.Adopt(now, s, true)
+			latest = Merge(latest, s)
+			for i, n := range nodes {
+				if !x.cut(i, at) {
+					n.Adopt(now, s, true)
+				}
 			}
 		}
 		if s := sums[tick]; s != nil {
-			for _, n := range nodes {
-				n.SetSums(now, s, x.nodes)
+			for i, n := range nodes {
+				if !x.cut(i, at) {
+					n.SetSums(now, s, sumsNodes[tick])
+				}
 			}
 		}
 		for _, a := range answers[tick] {
@@ -104,10 +129,13 @@
 			o := Outcome{Service: "s", Version: "v1", Host: "a" + strconv.Itoa(rng.IntN(x.targets)), Duration: time.Duration(float64(100*time.Millisecond) * (0.6 + 0.6*rng.Float64()))}
 			route := rng.IntN(5)
 			o.Route = "r" + strconv.Itoa(route)
+			if choice.Barred() {
+				continue // refused until the node knows the order
+			}
 			if choice.Next() {
 				out.sent++
 				tickSent++
-				if out.badAnswers >= 50 && at-fiftieth > rollback {
+				if out.badAnswers >= 50 && at-fiftieth > rollback && !x.cut(node, at) {
 					out.late++
 				}
 				o.Version, o.Host = "v2", "b"+o.Host[1:]
@@ -128,7 +156,12 @@
 			continue
 		}
 		total := make(map[string][]uint64)
-		for _, n := range nodes {
+		included := 0
+		for i, n := range nodes {
+			if x.cut(i, at) {
+				continue
+			}
+			included++
 			for key, v := range n.Counters(now) {
 				if total[key] == nil {
 					total[key] = make([]uint64, len(v))
@@ -139,9 +172,14 @@
 			}
 		}
 		if tick%10 == 0 {
-			sums[tick+int(sumsDelay/rehearsalTick)] = total
+			due := tick + int(sumsDelay/rehearsalTick)
+			sums[due], sumsNodes[due] = total, included
 		}
-		for _, n := range nodes {
+		for i, n := range nodes {
+			if x.cut(i, at) {
+				n.Step(now, func(string) Fleet { return fleet })
+				continue
+			}
 			for _, change := range n.Step(now, func(string) Fleet { return fleet }) {
 				due := tick + int(floodDelay/rehearsalTick)
 				floods[due] = append(floods[due], change.State)
@@ -151,7 +189,7 @@
 			}
 			if out.endedAt == 0 && n.Completable(now, "s", 1, fleet) {
 				out.endedAt = at
-				s := n.States()[0]
+				s := latest
 				s.Phase, s.Written = Completed, true
 				floods[tick+5] = append(floods[tick+5], s)
 			}
@@ -162,7 +200,7 @@
 			break
 		}
 	}
-	out.phase = nodes[0].States()[0].Phase
+	out.phase = latest.Phase
 	return out
 }
 
@@ -206,7 +244,7 @@
 				ends := make(map[string]int)
 				for seed := range uint64(max(1, seeds*10/size.nodes)) {
 					bad := name != "good"
-					x := rehearsal{nodes: size.nodes, rate: size.rate, targets: size.targets, fault: fault, noisy: seed%2 == 1}
+					x := rehearsal{nodes: size.nodes, rate: size.rate, targets: size.targets, fault: fault, noisy: seed%2 == 1, faulty: seed%3 == 1}
 					out := x.run(seed)
 					at := qt.Commentf("seed %d: %+v", seed, out)
 					ends[out.phase.String()+" "+out.verdict.Cause]++
--- a/briarrockd/rollout/tracker.go
+++ b/briarrockd/rollout/tracker.go
@@ -56,6 +56,10 @@
 	// until what the probe has shown has arrived, and only then stays.
 	probeTime = 0.035
 	probeEnd  = 0.09
+	// A roll-out that is later than the beginning of Switched by lateBy stays in each phase
+	// for latePhase only.
+	lateBy    = 0.04
+	latePhase = 0.03
 	// forceAt is when nodes that have not reported are no longer waited for: they can't be
 	// reached, or don't run. lastAt is when requests are no longer waited for that still run
 	// at the current version: they take longer than the rest of the time limit.
@@ -305,14 +309,21 @@
 	}
 	begins := [...]float64{Ramping: rampAt, Mostly: mostlyAt, Switched: switchAt}
 	next := t.state.Phase + 1
-	if progress >= begins[next] && now.Sub(t.phaseAt) >= t.minPhase()*9/10 {
+	if progress >= begins[next] && now.Sub(t.phaseAt) >= t.minPhase(progress)*9/10 {
 		t.enter(now, next)
 	}
 }
 
 // minPhase is the least duration of a phase: the evidence that it gives must have arrived
 // before the next one begins.
-func (t *tracker) minPhase() time.Duration {
+func (t *tracker) minPhase(progress float64) time.Duration {
+	switch t.state.Phase {
+	case Ramping, Mostly:
+		if progress > switchAt+lateBy {
+			// A doubt has cost time. What the phases would show has mostly been seen.
+			return t.part(latePhase)
+		}
+	}
 	switch t.state.Phase {
 	case Ramping:
 		return t.part(mostlyAt - rampAt)
