operator, node, briarrock: the command rollout

Orders of the product's own interface are written to the nodes' table before any node follows them, and reach all nodes by frames; their ends are written by the node that does the mesh's small periodic work.

--- a/briarrock/command/commands.go
+++ b/briarrock/command/commands.go
@@ -18,6 +18,7 @@
 		{"history", "show who changed what, and how fast it was in force", &history{}},
 		{"revert", "make an old version's text the newest version", &revert{}},
 		{"explain", "show how a request would be routed, and why", &explain{}},
+		{"rollout", "move a service's traffic to another version of its targets", &rolloutCommand{}},
 		{"demo", "run a whole mesh in this process and show the main job", &runDemo{}},
 	}
 }
--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -206,7 +206,7 @@
 	})
 	n.operators = operator.New(operator.Deps{
 		Host: n.cfg.Host, Store: store, Peers: n.peers, Log: n.log, Metrics: n.metrics,
-		Identify: n.identify, Explain: n.proxy.Explain, Ready: n.Ready,
+		Identify: n.identify, Explain: n.proxy.Explain, Ready: n.Ready, Rollouts: n,
 	})
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.wg.Go(n.maintainClaims)
@@ -216,7 +216,7 @@
 	if run := n.platform.Watch; run != nil {
 		n.wg.Go(func() { run(n.ctx, n.watch) })
 	}
-	n.startRollouts()
+	n.startRollouts(store)
 }
 
 // serveAll starts the servers of all listeners but that of the peers.
--- a/briarrockd/node/rollout.go
+++ b/briarrockd/node/rollout.go
@@ -143,31 +143,18 @@
 	if !on || !h.node.rollouts.Active() {
 		return nil
 	}
-	now := time.Now()
-	var out []rollout.State
-	for _, s := range h.node.rollouts.States() {
-		switch {
-		case s.Written:
-			continue
-		case s.Phase.Ended():
-		case h.node.rollouts.Completable(now, s.Service, s.Order, h.node.fleet(s.Service)):
-			s.Phase = rollout.Completed
-		case s.Current == "" && now.Sub(s.StartedAt) < currentDelay:
-			continue
-		default:
-			s.Phase = rollout.Observing
-		}
-		out = append(out, s)
-	}
-	return out
+	return h.node.due()
 }
 
 // RolloutsEnabled reports whether the deployment has roll-outs.
 func (h *WatchHandle) RolloutsEnabled() bool { return h.node.platform.Rollout.Share > 0 }
 
 // startRollouts starts what decides about roll-outs.
-func (n *Node) startRollouts() {
+func (n *Node) startRollouts(store platform.Store) {
 	n.wg.Go(n.runRollouts)
+	if n.platform.Watch == nil {
+		n.wg.Go(func() { n.writeRollouts(store) })
+	}
 	if run := n.platform.WriteRollouts; run != nil && n.platform.Rollout.Share > 0 {
 		n.wg.Go(func() { run(n.ctx, n.watch) })
 	}
--- a/briarrockd/operator/operator.go
+++ b/briarrockd/operator/operator.go
@@ -52,6 +52,8 @@
 	Identify func(tls *tls.ConnectionState, token string) (string, error)
 	// Explain returns how a request would be routed.
 	Explain func(method, target, caller string) api.Explain
+	// Rollouts are the node's roll-outs.
+	Rollouts Rollouts
 	// Ready reports whether the node is ready for callers.
 	Ready func() bool
 }
@@ -84,6 +86,9 @@
 		r.Get(api.PathHistory, o.history)
 		r.Get(api.PathStatus, o.status)
 		r.Get(api.PathExplain, o.explain)
+		r.Get(api.PathRollout, o.rollouts)
+		r.Post(api.PathRollout, o.orderRollout)
+		r.Get(api.PathRolloutHistory, o.rolloutHistory)
 	})
 	o.Handler = r
 	return o
--- a/briarrockd/rollout/share.go
+++ b/briarrockd/rollout/share.go
@@ -73,7 +73,7 @@
 // that Allows admits. After the end of a roll-out other versions may be started without an
 // order; only one that was rolled back is excluded.
 func (c *Choice) AllowsOtherwise(version string) bool {
-	return c.state.Phase.Ended() && !(c.state.Phase == RolledBack && version == c.state.Target)
+	return c.state.Phase == Completed || (c.state.Phase == RolledBack && version != c.state.Target)
 }
 
 // share returns the part of the requests that goes to the target version.
