--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -60,6 +60,7 @@
 	work      atomic.Int64 // processing time in nanoseconds
 	workers   chan struct{}
 	hanging   atomic.Bool
+	version   atomic.Pointer[string]
 	mu        sync.Mutex
 	runs      map[string]int // by id, see Runs
 }
@@ -84,6 +85,9 @@
 // cancelled.
 func (t *Target) Hang(on bool) { t.hanging.Store(on) }
 
+// SetVersion sets the version that the target announces.
+func (t *Target) SetVersion(v string) { t.version.Store(&v) }
+
 // SetWork sets the processing time of a request.
 func (t *Target) SetWork(d time.Duration) { t.work.Store(int64(d)) }
 
@@ -214,6 +218,7 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	State       string `json:"state"` // "up" or "draining"
+	Version     string `json:"version,omitempty"`
 }
 
 // announceEvery is the interval of a target's announcements.
@@ -236,7 +241,10 @@
 
 // AnnounceOnce announces the target to the node at url once.
 func (t *Target) AnnounceOnce(ctx context.Context, url string) error {
-	a := Announcement{t.cfg.Service, t.cfg.Addr, t.cfg.Slots, t.cfg.Conns, "up"}
+	a := Announcement{Service: t.cfg.Service, Addr: t.cfg.Addr, Slots: t.cfg.Slots, Connections: t.cfg.Conns, State: "up"}
+	if v := t.version.Load(); v != nil {
+		a.Version = *v
+	}
 	if t.draining.Load() {
 		a.State = "draining"
 	}
