rollout: compare the versions in the same seconds

The rates of the current version were taken since the order where it had few requests of late. A fault of both versions was then held against the target version if that had a greater share during the fault. The likelihood ratios of periods of half a second are now multiplied, each with the rate of its own period (TestSharedFault). Answers also count as very slow, so that hosts of half the speed make no version bad. Durations are kept until the threshold is known.

--- a/briarrockd/rollout/tracker.go
+++ b/briarrockd/rollout/tracker.go
@@ -90,6 +90,8 @@
 	calls, sent, reportedSent uint64
 	// own are this node's contributions by route.
 	own map[string][]uint64
+	// untimed are durations for which no threshold is known yet.
+	untimed []duration
 	// ownBefore are those of all routes when the current phase began.
 	ownBefore routeEvidence
 	// heardAt is when the node last heard of the order from a peer.
@@ -98,7 +100,7 @@
 	hasCurrent, hasTarget bool
 	sums                  meshSums
 	sumsAt                time.Time
-	history               []sample
+	judgement             judgement
 	// phaseAt is when the current phase began.
 	phaseAt time.Time
 	verdict Verdict
@@ -181,13 +183,10 @@
 		}
 	}
 	s.routes, s.slowAboveAll = decodeAll(vectors), pooledThreshold(vectors)
+	s.routes[allRoutes] = pooled(s.routes)
 	t.sums, t.sumsAt = s, now
-	if n := len(t.history); n == 0 || now.Sub(t.history[n-1].at) >= sampleInterval {
-		t.history = append(t.history, sample{now, s.routes})
-		if len(t.history) > maxSamples {
-			t.history = t.history[1:]
-		}
-	}
+	t.untimed = slices.DeleteFunc(t.untimed, t.countDuration)
+	t.judgement.update(now, s.routes, t.state.Phase)
 }
 
 // observe counts the end of an attempt.
@@ -224,12 +223,36 @@
 	if at == 0 {
 		v[fieldCount+bucket(o.Duration)]++
 	}
-	if slow := cmp.Or(t.sums.routes[route].slowAbove, t.sums.slowAboveAll); slow > 0 {
-		v[at+fieldTimed]++
-		if o.Duration > slow {
-			v[at+fieldSlow]++
-		}
+	if d := (duration{route, at, o.Duration}); !t.countDuration(d) && len(t.untimed) < maxUntimed {
+		t.untimed = append(t.untimed, d)
+	}
+}
+
+// duration is that of one answer, to be counted at an offset of a route's vector.
+type duration struct {
+	route string
+	at    int
+	took  time.Duration
+}
+
+// maxUntimed bounds the durations that are kept until a threshold is known.
+const maxUntimed = 256
+
+// countDuration counts a duration. It returns false if no threshold is known yet.
+func (t *tracker) countDuration(d duration) bool {
+	slow := cmp.Or(t.sums.routes[d.route].slowAbove, t.sums.slowAboveAll)
+	if slow == 0 {
+		return false
+	}
+	v := t.own[d.route]
+	v[d.at+fieldTimed]++
+	if d.took > slow {
+		v[d.at+fieldSlow]++
+	}
+	if d.took.Seconds() > verySlowFactor*slow.Seconds() {
+		v[d.at+fieldVerySlow]++
 	}
+	return true
 }
 
 func targetGroup(host string) int {
@@ -260,7 +283,8 @@
 		t.enter(now, Switched)
 		return
 	}
-	t.verdict = t.judgeAll(f.Targets[s.Target])
+	targets := f.Targets[s.Target]
+	t.verdict = t.judgement.judge(t.sums.routes, targets, s.Phase).or(t.judgeOwn(targets))
 	if t.verdict.Bad || (t.verdict.Doubtful && s.progress(now) >= giveUpAt) {
 		t.enter(now, RolledBack)
 		return
