--- a/briarrockd/rollout/seeds_test.go
+++ b/briarrockd/rollout/seeds_test.go
@@ -21,7 +21,8 @@
 	// version gets.
 	fault func(rng *rand.Rand, at time.Duration, route int, load float64) (failed bool, slower float64)
 	// noisy lets 1 % of all answers fail, and all of one target of the target version break
-	// for three seconds.
+	// for three seconds; targets run at 0.5 to 1.5 times the usual speed, and a tenth of them
+	// at a time takes 2.5 times as long for 600 ms.
 	noisy bool
 	// faulty restarts a node each second, and cuts a tenth of the nodes off from the others
 	// between cutFrom and cutTo.
@@ -79,6 +80,10 @@
 	var out rehearsed
 	var fiftieth time.Duration
 	recent := 0.0 // share of the requests at the target version
+	speeds := make(map[string]float64)
+	for i := range x.targets {
+		speeds["a"+strconv.Itoa(i)], speeds["b"+strconv.Itoa(i)] = 0.5+rng.Float64(), 0.5+rng.Float64()
+	}
 	latest, sumsNodes := order, make(map[int]int)
 	for tick := range int(rehearsalLimit / rehearsalTick) {
 		at := time.Duration(tick) * rehearsalTick
@@ -143,6 +148,10 @@
 				o.Failed, o.Duration = failed, time.Duration(float64(o.Duration)*slower)
 			}
 			if x.noisy {
+				if rng.IntN(10) == int(at/(600*time.Millisecond))%10 {
+					o.Duration = o.Duration * 5 / 2
+				}
+				o.Duration = time.Duration(float64(o.Duration) / speeds[o.Host])
 				o.Failed = o.Failed || rng.Float64() < 0.01
 				o.Broken = o.Host == "b0" && at > 4*time.Second && at < 7*time.Second
 			}
