--- a/briarrockd/peer/rollout_test.go
+++ b/briarrockd/peer/rollout_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -126,3 +127,29 @@
 		c.Check(f.frames, qt.Equals, 0)
 	})
 }
+
+// TestRolloutFrames guards against states from a peer that no node could follow.
+func TestRolloutFrames(t *testing.T) {
+	c := qt.New(t)
+	valid := RolloutState{Service: "s", Order: 3, Target: "v2", Duration: 12000, Age: 70}
+	for name, corrupt := range map[string]func(*RolloutState){
+		"valid":              func(*RolloutState) {},
+		"no service":         func(s *RolloutState) { s.Service = "" },
+		"a long version":     func(s *RolloutState) { s.Target = strings.Repeat("v", maxNameSize+1) },
+		"an unknown phase":   func(s *RolloutState) { s.Phase = rollout.Completed + 1 },
+		"an age of years":    func(s *RolloutState) { s.Age = 1 << 40 },
+		"a limit of years":   func(s *RolloutState) { s.Duration = 1 << 63 },
+		"a long old version": func(s *RolloutState) { s.Current = strings.Repeat("v", maxNameSize+1) },
+	} {
+		s := valid
+		corrupt(&s)
+		b, err := EncodeFrame(Rollout{States: []RolloutState{s}})
+		c.Assert(err, qt.IsNil)
+		f, err := DecodeFrame(b)
+		if name == "valid" {
+			c.Check(f, qt.DeepEquals, Frame(Rollout{States: []RolloutState{s}}))
+			continue
+		}
+		c.Check(err, qt.Equals, ErrFrame, qt.Commentf("%s", name))
+	}
+}
--- a/briarrockd/peer/rules_test.go
+++ b/briarrockd/peer/rules_test.go
@@ -384,6 +384,7 @@
 		Summary{Domain: "x", At: 5},
 		CrashReport{Print: 1, Service: "s"},
 		Fetch{Version: 5},
+		Rollout{States: []RolloutState{{Service: "s", Order: 3, Target: "v2", Duration: 12000}}, Confirmed: true, Whole: true},
 	} {
 		b, err := EncodeFrame(x)
 		if err != nil {
