rollout, caller: count requests that reach a target

The share was held over all requests, also those that every target refuses. In a shortage the target version, which refuses fewer, got more than its share of those that reach a target (TestRefused).

--- a/briarrockd/caller/attempts.go
+++ b/briarrockd/caller/attempts.go
@@ -59,6 +59,7 @@
 		case a := <-x.results:
 			x.inFlight--
 			if x.handleResult(&a) {
+				x.countReached()
 				return a
 			}
 		case <-hedge.C:
--- a/briarrockd/caller/versions.go
+++ b/briarrockd/caller/versions.go
@@ -33,6 +33,13 @@
 	return u, ref, ok
 }
 
+// countReached counts the call for the roll-out of its service if it reached a target.
+func (x *attempts) countReached() {
+	if x.choice.Limited() && x.reachedTarget > 0 {
+		x.p.deps.Rollouts.Reached(time.Now(), x.c.service.Name)
+	}
+}
+
 func (x *attempts) pickAllowed(now time.Time) (upstream, refusal, bool) {
 	c := x.c
 	u, ref, ok := x.p.deps.Balancer.pick(now, c.service.Name, allowed(&x.choice, c.upstreams), x.tried, c.route.Priority)
--- a/briarrockd/caller/versions_test.go
+++ b/briarrockd/caller/versions_test.go
@@ -36,7 +36,7 @@
 		{"not known, one version", nil, false, []string{"v1", "v1"}, map[string]int{"v1": 100}, "v1", ""},
 		{"observing", with(rollout.Observing), true, []string{"v1", "v1", "v2", "v2"}, map[string]int{"v1": 92, "v2": 8}, "v1", "v1"},
 		{"observing, no target version", with(rollout.Observing), true, []string{"v1", "v1"}, map[string]int{"v1": 100}, "v1", ""},
-		{"observing, only the target version", with(rollout.Observing), true, []string{"v2", "v2"}, map[string]int{"": 92, "v2": 8}, "", ""},
+		{"observing, only the target version", with(rollout.Observing), true, []string{"v2", "v2"}, map[string]int{"": 100}, "", ""},
 		{"switched", with(rollout.Switched), true, []string{"v1", "v2", "v2"}, map[string]int{"v2": 100}, "", "v2"},
 		{"rolled back", with(rollout.RolledBack), true, []string{"v1", "v1", "v2"}, map[string]int{"v1": 100}, "v1", ""},
 		{"rolled back, another version since", with(rollout.RolledBack), true, []string{"v3", "v2"}, map[string]int{"v3": 100}, "", ""},
@@ -70,11 +70,14 @@
 				if !ok {
 					continue
 				}
+				x.reachedTarget++
+				x.countReached()
 				x.tried = append(x.tried, u.host)
 				second, _, _ := x.pick(now)
 				again[u.version] = second.version
 			}
 			for version, n := range first {
+				// Each node begins its count at another offset.
 				diff := n - test.first[version]
 				c.Check(diff >= -1 && diff <= 1, qt.IsTrue, qt.Commentf("%d at %q", n, version))
 			}
--- a/briarrockd/rollout/registry.go
+++ b/briarrockd/rollout/registry.go
@@ -90,7 +90,7 @@
 	return true
 }
 
-// Begin decides for one request which versions it may run at, and counts it.
+// Begin decides for one request which versions it may run at.
 func (r *Registry) Begin(now time.Time, service string) Choice {
 	if r == nil || !r.active.Load() {
 		return Choice{}
@@ -104,6 +104,15 @@
 	return t.begin(now)
 }
 
+// Reached counts a request that has reached a target.
+func (r *Registry) Reached(now time.Time, service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.services[service]; t != nil {
+		t.reached(now)
+	}
+}
+
 // Unsent tells that no target of the target version could take the request. It returns the
 // choice for the other version, if that may be tried.
 func (r *Registry) Unsent(c Choice) (Choice, bool) {
--- a/briarrockd/rollout/rollout.go
+++ b/briarrockd/rollout/rollout.go
@@ -4,9 +4,10 @@
 //	r := rollout.New(rollout.Config{Share: 0.1, Slack: 50}, seed)
 //	r.Adopt(now, state)                      // an order, or what a peer knows of one
 //	choice := r.Begin(now, "catalog")        // for each request
-//	done := r.Started("catalog", version)    // for each attempt
+//	ended := r.Started("catalog", version)   // for each attempt
 //	…
-//	r.Observe(now, rollout.Outcome{…})       // where an attempt ends
+//	r.Observe(rollout.Outcome{…})            // where an attempt ends
+//	r.Reached(now, "catalog")                // for each request that reached a target
 //	r.SetSums(now, sums, nodes)              // the evidence of all nodes
 //	r.Step(now, fleets)                      // the resulting changes, to be sent to peers
 //
--- a/briarrockd/rollout/rollout_test.go
+++ b/briarrockd/rollout/rollout_test.go
@@ -98,7 +98,7 @@
 		max   int // of 1000 requests
 	}{
 		{"both versions", Observing, Fleet{Versions: map[string]int{"v1": 6, "v2": 6}, Targets: map[string]int{"v1": 1, "v2": 1}, Members: 9}, 0},
-		{"only the target version", Observing, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 81},
+		{"only the target version", Observing, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 1},
 		{"ramping", Ramping, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 21},
 		{"switched", Switched, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 21},
 		{"rolled back", RolledBack, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 0},
@@ -111,15 +111,40 @@
 			r.Step(now, func(string) Fleet { return test.fleet })
 			next := 0
 			for range 1000 {
-				if choice := r.Begin(now, "s"); choice.Next() {
+				choice := r.Begin(now, "s")
+				if choice.Next() {
 					next++
 				}
+				if choice.Next() || test.fleet.Targets["v1"] > 0 {
+					r.Reached(now, "s")
+				}
 			}
 			c.Check(next <= test.max, qt.IsTrue, qt.Commentf("%d requests at the target version", next))
 		})
 	}
 }
 
+// TestRefused guards against a share of all requests, also of those that every target of the
+// current version refuses: the target version would get most of the rest.
+func TestRefused(t *testing.T) {
+	c := qt.New(t)
+	r := New(Config{Share: 0.1, Slack: 50}, 1)
+	r.Adopt(start, State{Service: "s", Order: 1, Target: "v2", Current: "v1", Duration: 10 * time.Second, StartedAt: start}, false)
+	next, reached := 0, 0
+	for i := range 10000 {
+		choice := r.Begin(start, "s")
+		if choice.Next() {
+			next++
+		}
+		if choice.Next() || i%10 == 0 {
+			reached++
+			r.Reached(start, "s")
+		}
+	}
+	c.Check(float64(next) <= 0.1*float64(reached), qt.IsTrue, qt.Commentf("%d of %d", next, reached))
+	c.Check(float64(next) >= 0.07*float64(reached), qt.IsTrue, qt.Commentf("%d of %d", next, reached))
+}
+
 // TestNeverStarts guards against a version that is completed although no target of it runs.
 func TestNeverStarts(t *testing.T) {
 	c := qt.New(t)
@@ -154,6 +179,7 @@
 		seen := make(map[string]bool)
 		for range 100 {
 			choice := r.Begin(start, "s")
+			r.Reached(start, "s")
 			for _, v := range []string{"v1", "v2", "v3"} {
 				if choice.Allows(v) && !seen[v] {
 					seen[v] = true
--- a/briarrockd/rollout/seeds_test.go
+++ b/briarrockd/rollout/seeds_test.go
@@ -116,6 +116,7 @@
 		}
 		for _, a := range answers[tick] {
 			nodes[a.node].Observe(a.o)
+			nodes[a.node].Reached(now, "s")
 			if a.o.Version == "v2" && (a.o.Failed || a.o.Broken || a.o.Duration > 250*time.Millisecond) {
 				if out.badAnswers++; out.badAnswers == 50 {
 					fiftieth = at
--- a/briarrockd/rollout/share.go
+++ b/briarrockd/rollout/share.go
@@ -80,9 +80,6 @@
 func (t *tracker) share(now time.Time) float64 {
 	switch t.state.Phase {
 	case Observing:
-		if t.state.Target == t.state.Current {
-			return 1
-		}
 		if t.observedEnough(now) {
 			return quietShare * t.cfg.Share
 		}
@@ -146,10 +143,22 @@
 	return t.sums.nodes
 }
 
-// begin counts a request and decides which version its first attempt goes to.
+// reached counts a request that has reached a target. Requests that all targets refuse don't
+// count: with them, a version that refuses fewer would get more than its share of the rest.
+func (t *tracker) reached(now time.Time) {
+	t.calls++
+	if t.state.Phase == Observing {
+		t.addCredit(now)
+	}
+}
+
+func (t *tracker) addCredit(now time.Time) {
+	t.credit = min(t.credit+t.share(now), maxCredit)
+}
+
+// begin decides for a request which version its first attempt goes to.
 func (t *tracker) begin(now time.Time) Choice {
 	c := Choice{limited: true, state: t.state}
-	t.calls++
 	switch {
 	case t.state.Phase.Ended():
 		c.next = t.state.Phase == Completed
@@ -163,7 +172,10 @@
 		// Nothing is known of a rollback, and there are targets of the current version.
 		return c
 	}
-	t.credit = min(t.credit+t.share(now), maxCredit)
+	if t.state.Phase > Observing {
+		// The share is above the bound on purpose, and is to be reached at once.
+		t.addCredit(now)
+	}
 	switch {
 	case t.credit >= 1:
 		t.credit--
