--- a/briarrockd/node/rollout.go
+++ b/briarrockd/node/rollout.go
@@ -14,6 +14,9 @@
 // its counters.
 const rolloutInterval = 100 * time.Millisecond
 
+// rolloutIdle is the interval at which a node looks for the first order.
+const rolloutIdle = 500 * time.Millisecond
+
 // currentDelay is how long the status of an order waits for the version in use to be known.
 const currentDelay = time.Second
 
@@ -29,10 +32,11 @@
 // runRollouts decides about open roll-outs until the node closes.
 func (n *Node) runRollouts() {
 	for n.ctx.Err() == nil {
-		platform.Pause(n.ctx, rolloutInterval)
+		pause := rolloutInterval
 		if !n.rollouts.Active() {
-			continue
+			pause = rolloutIdle
 		}
+		platform.Pause(n.ctx, pause)
 		now := time.Now()
 		changes := n.rollouts.Step(now, n.fleet)
 		n.setCounters(rollout.Prefix, n.rollouts.Counters(now))
--- a/briarrockd/rollout/registry.go
+++ b/briarrockd/rollout/registry.go
@@ -20,6 +20,8 @@
 	mu        sync.Mutex
 	confirmed bool
 	services  map[string]*tracker
+	// steppedAt is the time of the first Step.
+	steppedAt time.Time
 	// running is the number of attempts in flight by service and version.
 	running map[attemptKey]int
 }
@@ -218,11 +220,18 @@
 func (r *Registry) Step(now time.Time, fleet func(service string) Fleet) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.steppedAt.IsZero() {
+		r.steppedAt = now
+	}
 	var out []Change
 	for _, service := range slices.Sorted(maps.Keys(r.services)) {
 		t := r.services[service]
 		before := t.state
-		t.step(now, fleet(service))
+		f := fleet(service)
+		t.look(f)
+		if r.settled(now) {
+			t.decide(now, f)
+		}
 		if t.state != before {
 			out = append(out, Change{t.state, t.verdict})
 		}
@@ -233,6 +242,14 @@
 // Active reports whether a request has to ask the Registry.
 func (r *Registry) Active() bool { return r.active.Load() }
 
+// settleTime is how long a node that has just started leaves all decisions to the others: it
+// may not know all members and targets yet.
+const settleTime = 3 * time.Second
+
+func (r *Registry) settled(now time.Time) bool {
+	return !r.steppedAt.IsZero() && now.Sub(r.steppedAt) >= settleTime
+}
+
 // States returns the states of all services, sorted by name.
 func (r *Registry) States() []State {
 	r.mu.Lock()
@@ -249,5 +266,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.services[service]
-	return t != nil && t.state.Order == order && t.completable(now, f)
+	return t != nil && r.settled(now) && t.state.Order == order && t.completable(now, f)
 }
--- a/briarrockd/rollout/rollout_test.go
+++ b/briarrockd/rollout/rollout_test.go
@@ -9,6 +9,25 @@
 
 var start = time.Unix(1_000_000, 0)
 
+// newSettled returns a Registry of a node that has run for a while.
+func newSettled(seed uint64) *Registry {
+	r := New(Config{Share: 0.1, Slack: 50}, seed)
+	r.Step(start.Add(-time.Minute), nil)
+	return r
+}
+
+// TestSettle guards against a node that has just started and ends a roll-out since it knows
+// no targets or members yet.
+func TestSettle(t *testing.T) {
+	c := qt.New(t)
+	r := New(Config{Share: 0.1, Slack: 50}, 1)
+	r.Adopt(start, State{Service: "s", Order: 1, Target: "v2", Current: "v1", Duration: 10 * time.Second, StartedAt: start.Add(-9900 * time.Millisecond)}, true)
+	none := func(string) Fleet { return Fleet{Members: 1} }
+	c.Check(r.Step(start, none), qt.HasLen, 0)
+	c.Check(r.Step(start.Add(settleTime/2), none), qt.HasLen, 0)
+	c.Check(r.Step(start.Add(settleTime), none), qt.HasLen, 1)
+}
+
 // TestMerge guards against a node that falls back to an older order or phase, and against
 // an order that takes the version of an unfinished order for the one in use.
 func TestMerge(t *testing.T) {
@@ -148,7 +167,7 @@
 // TestNeverStarts guards against a version that is completed although no target of it runs.
 func TestNeverStarts(t *testing.T) {
 	c := qt.New(t)
-	r := New(Config{Share: 0.1, Slack: 50}, 1)
+	r := newSettled(1)
 	r.Adopt(start, State{Service: "s", Order: 1, Target: "v2", Duration: 10 * time.Second, StartedAt: start}, false)
 	fleet := func(string) Fleet {
 		return Fleet{Versions: map[string]int{"v1": 6}, Targets: map[string]int{"v1": 1}, Members: 1}
@@ -168,7 +187,7 @@
 // against an order back to the version in use that waits for evidence.
 func TestOrdersInTurn(t *testing.T) {
 	c := qt.New(t)
-	r := New(Config{Share: 0.1, Slack: 50}, 1)
+	r := newSettled(1)
 	fleet := func(string) Fleet {
 		return Fleet{Versions: map[string]int{"v1": 6, "v2": 6, "v3": 6}, Targets: map[string]int{"v1": 1, "v2": 1, "v3": 1}, Members: 1}
 	}
--- a/briarrockd/rollout/seeds_test.go
+++ b/briarrockd/rollout/seeds_test.go
@@ -68,7 +68,7 @@
 	nodes := make([]*Registry, x.nodes)
 	order := State{Service: "s", Order: 1, Target: "v2", Current: "v1", Duration: rehearsalLimit, StartedAt: start}
 	for i := range nodes {
-		nodes[i] = New(Config{Share: 0.1, Slack: 50}, rng.Uint64())
+		nodes[i] = newSettled(rng.Uint64())
 		nodes[i].Confirm()
 		nodes[i].Adopt(start, order, true)
 	}
--- a/briarrockd/rollout/tracker.go
+++ b/briarrockd/rollout/tracker.go
@@ -261,8 +261,8 @@
 	return int(h.Sum32() % targetGroups)
 }
 
-// step decides whether the roll-out goes on to another phase.
-func (t *tracker) step(now time.Time, f Fleet) {
+// look takes note of the targets and members that the node knows.
+func (t *tracker) look(f Fleet) {
 	s := &t.state
 	t.members = f.Members
 	t.hasTarget = f.Targets[s.Target] > 0
@@ -270,6 +270,11 @@
 	for version, n := range f.Targets {
 		t.hasCurrent = t.hasCurrent || (n > 0 && s.allows(version, false))
 	}
+}
+
+// decide decides whether the roll-out goes on to another phase.
+func (t *tracker) decide(now time.Time, f Fleet) {
+	s := &t.state
 	if s.Phase.Ended() {
 		return
 	}
