--- a/briarrockd/rollout/share.go
+++ b/briarrockd/rollout/share.go
@@ -123,8 +123,10 @@
 }
 
 // alone reports whether the node is cut off, so that the roll-out may have been rolled back
-// without its knowledge: it has peers but has not heard from any for some time or, while
-// more than the first share is sent, the sums include no more than half of the mesh.
+// without its knowledge: it has peers but has not heard from any for some time or, while the
+// share is above the bound, the sums include no more than half of the mesh. The latter does
+// not count once it has switched: the sums also lack a part for a moment when a host dies that
+// passes them on, and the targets of the current version may be stopping.
 func (t *tracker) alone(now time.Time) bool {
 	if t.members <= 1 {
 		return false
@@ -132,7 +134,7 @@
 	if now.Sub(t.heardAt) > aloneAfter {
 		return true
 	}
-	return t.state.Phase >= Ramping && t.state.Phase <= Switched && 2*t.freshNodes(now) <= t.members
+	return (t.state.Phase == Ramping || t.state.Phase == Mostly) && 2*t.freshNodes(now) <= t.members
 }
 
 // freshNodes returns the number of nodes that the sums include; 0 if they are old.
