rollout: doubt of a quarter of the nodes holds a roll-out

Each node goes on by its own view, so of 100 nodes one that happens to have no doubt took all others along.

--- a/briarrockd/rollout/judge.go
+++ b/briarrockd/rollout/judge.go
@@ -132,7 +132,8 @@
 type Verdict struct {
 	// Bad is set if the version is bad, Doubtful if it may be.
 	Bad, Doubtful bool
-	// Route, Cause and the two rates say why: failed, broken, slow, very slow or no target.
+	// Route, Cause and the two rates say why: failed, broken, slow, very slow, no target, or
+	// doubt of other nodes.
 	Route, Cause   string
 	Rate, BaseRate float64
 }
--- a/briarrockd/rollout/tracker.go
+++ b/briarrockd/rollout/tracker.go
@@ -51,7 +51,10 @@
 	rampAt     = 0.57
 	mostlyAt   = 0.64
 	switchAt   = 0.78
-	completeAt = 0.81
+	completeAt = 0.86
+	// switchedTime is the least part of the time limit in Switched, in which what fails under
+	// the full load only shows.
+	switchedTime = 0.07
 	// The phase Mostly begins with a probe of the full load. Then the share is small again
 	// until what the probe has shown has arrived, and only then stays.
 	probeTime = 0.035
@@ -110,6 +113,7 @@
 type meshSums struct {
 	calls, sent     uint64
 	switched, moved int
+	doubtful        int
 	nodes           int
 	routes          map[string]routeEvidence
 	// slowAboveAll applies to routes without a threshold of their own.
@@ -129,6 +133,7 @@
 	fieldSent
 	fieldSwitched // nodes that send to the target version only and run nothing elsewhere
 	fieldMoved    // the same, but requests that were sent before may still run
+	fieldDoubtful // nodes that doubt the target version
 	totalFields
 )
 
@@ -158,6 +163,9 @@
 			total[fieldSwitched] = 1
 		}
 	}
+	if t.verdict.Doubtful {
+		total[fieldDoubtful] = 1
+	}
 	t.reportedSent = t.sent
 	out[t.prefix()] = total
 	for route, v := range t.own {
@@ -175,7 +183,7 @@
 	s := meshSums{nodes: nodes}
 	total = append(slices.Clone(total), make([]uint64, totalFields)...)
 	s.calls, s.sent = total[fieldCalls], total[fieldSent]
-	s.switched, s.moved = int(total[fieldSwitched]), int(total[fieldMoved])
+	s.switched, s.moved, s.doubtful = int(total[fieldSwitched]), int(total[fieldMoved]), int(total[fieldDoubtful])
 	vectors := make(map[string][]uint64)
 	for key, v := range all {
 		if route, ok := strings.CutPrefix(key, prefix+"/"); ok {
@@ -290,7 +298,11 @@
 	}
 	targets := f.Targets[s.Target]
 	t.verdict = t.judgement.judge(t.sums.routes, targets, s.Phase).or(t.judgeOwn(targets))
-	if t.verdict.Bad || (t.verdict.Doubtful && s.progress(now) >= giveUpAt) {
+	if t.doubted() && s.progress(now) >= giveUpAt && !t.verdict.Bad {
+		t.verdict.Bad = true
+		t.verdict.Cause = cmp.Or(t.verdict.Cause, "doubt")
+	}
+	if t.verdict.Bad {
 		t.enter(now, RolledBack)
 		return
 	}
@@ -327,7 +339,7 @@
 		}
 		return
 	}
-	if t.state.Phase >= Switched || t.verdict.Doubtful {
+	if t.state.Phase >= Switched || t.verdict.Doubtful || t.doubted() {
 		return
 	}
 	if t.alone(now) || (f.Members > 1 && 2*t.freshNodes(now) <= f.Members) {
@@ -368,14 +380,23 @@
 	return time.Duration(p * float64(t.state.Duration))
 }
 
+// doubted reports whether a part of the nodes that matters doubts the target version. Each
+// node has seen slightly different periods, so a single one may doubt, or not, by chance.
+func (t *tracker) doubted() bool {
+	return t.sums.doubtful > 0 && doubtDivisor*t.sums.doubtful >= t.sums.nodes
+}
+
+// doubtDivisor is the inverse of that part.
+const doubtDivisor = 4
+
 // completable reports whether the status may say that the roll-out is completed: all nodes
 // have switched, or those that have not can't be asked.
 func (t *tracker) completable(now time.Time, f Fleet) bool {
-	if t.state.Phase != Switched || t.verdict.Doubtful || now.Sub(t.sumsAt) > sumsMaxAge {
+	if t.state.Phase != Switched || t.verdict.Doubtful || t.doubted() || now.Sub(t.sumsAt) > sumsMaxAge {
 		return false
 	}
 	progress := t.state.progress(now)
-	if t.state.Target != t.state.Current && progress < completeAt {
+	if t.state.Target != t.state.Current && (progress < completeAt || (progress < lastAt && now.Sub(t.phaseAt) < t.part(switchedTime))) {
 		return false
 	}
 	s := &t.sums
