rollout, platform: slack for up to 60 requests a second

With 70 requests a second the slack sent a quarter of the requests to a bad version, more than the retry budget covers: 4 of 717 calls failed (TestRollout/bad under -race on a busy machine).

--- a/briarrockd/rollout/share.go
+++ b/briarrockd/rollout/share.go
@@ -29,7 +29,8 @@
 	slackMaxAge    = time.Second
 	// slackRate is the number of requests a second of a service up to which the slack is
 	// used; with more requests the share alone gives enough answers.
-	slackRate = 150.0
+	// Beyond the share the retry budget, a tenth of the calls, does not cover all failures.
+	slackRate = 60.0
 	// slackShare is the part of the slack that is used on purpose.
 	slackShare = 0.5
 	// maxSlackShare leaves enough requests to the current version to compare with.
