--- a/briarrockd/node/rollout.go
+++ b/briarrockd/node/rollout.go
@@ -91,7 +91,10 @@
 }
 
 // useSums takes the mesh-wide sums.
-func (n *Node) useSums(p peer.PublishSums) {
+func (n *Node) useSums(p peer.PublishSums) { n.rolloutSums(p) }
+
+// rolloutSums takes the part of the mesh-wide sums that belongs to roll-outs.
+func (n *Node) rolloutSums(p peer.PublishSums) {
 	if n.rollouts.Active() {
 		n.rollouts.SetSums(time.Now(), p.Sums, p.Nodes)
 	}
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -51,6 +51,7 @@
 	"math/rand/v2"
 	"time"
 
+	"briarrock.example/briarrockd/proof"
 	"briarrock.example/mesh/event"
 	"briarrock.example/mesh/snapshot"
 )
@@ -104,6 +105,10 @@
 	// Rollouts is set if the deployment has roll-outs. A new peer is then told of all
 	// orders, also if there are none.
 	Rollouts bool
+	// Strict is set if this node serves requests with keys only while it can prove that
+	// its version was the newest one at most Revoke ago.
+	Strict bool
+	Revoke time.Duration
 }
 
 // Core holds the state of one node's gossip protocol and makes its decisions. Use New
@@ -135,6 +140,7 @@
 	crashes  crashTable
 	sums     sums
 	rollouts rollouts
+	proofs   proofs
 }
 
 // link is one open link.
@@ -162,6 +168,9 @@
 	// introductionUntil is the time until which the link is used only to introduce a
 	// starting node to its own domain.
 	introductionUntil time.Time
+	// takesProofs is set if the peer takes Proof frames; proof is their state.
+	takesProofs bool
+	proof       proof.Link
 	// unwantedSince is when the link ceased to be one that this node should have; zero
 	// if it should have it.
 	unwantedSince time.Time
@@ -264,6 +273,7 @@
 	c.tickWatch()
 	c.updatePollRole()
 	c.tickContacts()
+	c.tickProofs()
 	c.tickReport()
 	c.tickCrashes()
 	c.tickSums()
@@ -327,6 +337,8 @@
 		c.onTotals(l, f)
 	case Rollout:
 		c.onRollout(l, f)
+	case Proof:
+		c.onProof(l, f)
 	default:
 		// A second Hello on an open link violates the protocol.
 		c.log(event.PeerGarbage, event.Fields{event.Subject: l.host})
@@ -343,6 +355,7 @@
 		Cursor:      c.watch.cursor,
 		RemoteFloor: c.version.remoteFloor,
 		Members:     c.Members(),
+		Proofs:      c.cfg.Strict,
 	}
 	if l != nil {
 		hello.Lazy = l.lazy
--- a/briarrockd/peer/rules_test.go
+++ b/briarrockd/peer/rules_test.go
@@ -385,6 +385,7 @@
 		CrashReport{Print: 1, Service: "s"},
 		Fetch{Version: 5},
 		Rollout{States: []RolloutState{{Service: "s", Order: 3, Target: "v2", Duration: 12000}}, Confirmed: true, Whole: true},
+		Proof{Version: 5, Age: 1, Clock: 2, Echo: 3, Held: 4},
 	} {
 		b, err := EncodeFrame(x)
 		if err != nil {
