rollout, platform: bound on refusals before orders are known

A node that neither the store nor a peer had told all orders refused requests of services with targets of several versions without end, so a deployment whose store failed after a restart lost those services. The refusal now ends settleTime (3 s) after the first Step; the node goes on to confirm. A target of unknown version counts as equal to any.

--- a/briarrockd/caller/versions.go
+++ b/briarrockd/caller/versions.go
@@ -51,10 +51,8 @@
 func allowed(choice *rollout.Choice, set []upstream) []upstream {
 	switch {
 	case choice.Barred():
-		for i := range set {
-			if set[i].version != set[0].version {
-				return nil
-			}
+		if !sameVersion(set) {
+			return nil
 		}
 		return set
 	case !choice.Limited():
@@ -67,6 +65,21 @@
 	return out
 }
 
+// sameVersion reports whether all upstreams have the same version. An unknown one counts as
+// equal to any.
+func sameVersion(set []upstream) bool {
+	known := ""
+	for i := range set {
+		if v := set[i].version; v != "" {
+			if known != "" && v != known {
+				return false
+			}
+			known = v
+		}
+	}
+	return true
+}
+
 func filter(set []upstream, keep func(version string) bool) []upstream {
 	out := make([]upstream, 0, len(set))
 	for i := range set {
--- a/briarrockd/caller/versions_test.go
+++ b/briarrockd/caller/versions_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 		{"no order", nil, true, []string{"v1", "v1"}, map[string]int{"v1": 100}, "v1", ""},
 		{"not known", nil, false, []string{"v1", "v2"}, map[string]int{"": 100}, "", ""},
 		{"not known, one version", nil, false, []string{"v1", "v1"}, map[string]int{"v1": 100}, "v1", ""},
+		{"not known, one version and an unknown one", nil, false, []string{"v1", ""}, map[string]int{"v1": 100}, "", ""},
+		{"not known after the bound", nil, false, []string{"v1", "v2"}, map[string]int{"v1": 100}, "v2", ""},
 		{"observing", with(rollout.Observing), true, []string{"v1", "v1", "v2", "v2"}, map[string]int{"v1": 92, "v2": 8}, "v1", "v1"},
 		{"observing, no target version", with(rollout.Observing), true, []string{"v1", "v1"}, map[string]int{"v1": 100}, "v1", ""},
 		{"observing, only the target version", with(rollout.Observing), true, []string{"v2", "v2"}, map[string]int{"": 100}, "", ""},
@@ -49,6 +52,9 @@
 			if test.confirmed {
 				r.Confirm()
 			}
+			if strings.HasSuffix(test.name, "after the bound") {
+				r.Step(now.Add(-time.Minute), func(string) rollout.Fleet { return rollout.Fleet{} })
+			}
 			if test.state != nil {
 				r.Adopt(now, *test.state, false)
 			}
--- a/briarrockd/rollout/registry.go
+++ b/briarrockd/rollout/registry.go
@@ -101,7 +101,7 @@
 	defer r.mu.Unlock()
 	t := r.services[service]
 	if t == nil {
-		return Choice{barred: !r.confirmed}
+		return Choice{barred: !r.confirmed && !r.settled(now)}
 	}
 	return t.begin(now)
 }
@@ -243,7 +243,8 @@
 func (r *Registry) Active() bool { return r.active.Load() }
 
 // settleTime is how long a node that has just started leaves all decisions to the others: it
-// may not know all members and targets yet.
+// may not know all members and targets yet. It also bounds how long requests are refused
+// because no order is known: with the store down and no peer nothing would ever confirm that.
 const settleTime = 3 * time.Second
 
 func (r *Registry) settled(now time.Time) bool {
--- a/briarrockd/rollout/rollout_test.go
+++ b/briarrockd/rollout/rollout_test.go
@@ -91,12 +91,19 @@
 }
 
 // TestUnconfirmed guards against a restarted node that sends to all versions before it knows
-// whether there is an order, and against a deployment without roll-outs that waits for that.
+// whether there is an order, against one that refuses requests for good if neither the store
+// nor a peer tells it, and against a deployment without roll-outs that waits for that.
 func TestUnconfirmed(t *testing.T) {
 	c := qt.New(t)
 	r := New(Config{Share: 0.1, Slack: 50}, 1)
 	choice := r.Begin(start, "s")
 	c.Check(choice.Barred(), qt.IsTrue)
+	r.Step(start, func(string) Fleet { return Fleet{} })
+	choice = r.Begin(start.Add(settleTime-1), "s")
+	c.Check(choice.Barred(), qt.IsTrue)
+	choice = r.Begin(start.Add(settleTime), "s")
+	c.Check(choice.Barred(), qt.IsFalse)
+	c.Check(r.Confirmed(), qt.IsFalse)
 	r.Confirm()
 	choice = r.Begin(start, "s")
 	c.Check(choice.Barred(), qt.IsFalse)
--- a/mesh/event/event.go
+++ b/mesh/event/event.go
@@ -91,6 +91,7 @@
 	RolloutOrderBad  = Event{533, "rolloutbad", logrus.WarnLevel}
 	RolloutWritten   = Event{534, "rolloutwritten", logrus.InfoLevel}
 	RolloutUnwritten = Event{535, "rolloutunwritten", logrus.WarnLevel}
+	RolloutUnread    = Event{536, "rolloutunread", logrus.WarnLevel}
 	EditAccepted     = Event{601, "accepted", logrus.InfoLevel}
 	EditConflict     = Event{602, "conflict", logrus.WarnLevel}
 	EditRefused      = Event{603, "invalid", logrus.WarnLevel}
@@ -109,7 +110,7 @@
 		CallFailed, TargetUp, TargetGone, TargetCrashed, RequestHeld, ClaimLost,
 		CallAnswered, CallGivenUp, RunRefused, RunEnded, TargetState, AnnounceBad, TargetRate, AnswerBad,
 		Workspaces, KeyRefused,
-		RolloutPhase, RolledBack, RolloutCompleted, RolloutOrderBad, RolloutWritten, RolloutUnwritten,
+		RolloutPhase, RolledBack, RolloutCompleted, RolloutOrderBad, RolloutWritten, RolloutUnwritten, RolloutUnread,
 		EditAccepted, EditConflict, EditRefused, EditUnknown, OperatorRefused,
 	}
 }
