rollout: an ended order excludes one version, for a while only

An order that had ended restricted versions for ever: targets of a third version that were started later got no requests as long as one of the order's versions had a target, and a restarted node took the restriction over from the record. After completed only the old version is excluded now, after rolled back only the rolled-back one, and neither once the status is written and 30 s have passed after the time limit. The service then no longer counts as active.

TestEndedForgotten and new cases of TestAllows and TestPickVersion.

--- a/briarrockd/caller/versions_test.go
+++ b/briarrockd/caller/versions_test.go
@@ -43,6 +43,8 @@
 		{"switched", with(rollout.Switched), true, []string{"v1", "v2", "v2"}, map[string]int{"v2": 100}, "", "v2"},
 		{"rolled back", with(rollout.RolledBack), true, []string{"v1", "v1", "v2"}, map[string]int{"v1": 100}, "v1", ""},
 		{"rolled back, another version since", with(rollout.RolledBack), true, []string{"v3", "v2"}, map[string]int{"v3": 100}, "", ""},
+		{"completed, another version beside", with(rollout.Completed), true, []string{"v3", "v2", "v1"}, map[string]int{"v3": 100}, "v2", ""},
+		{"rolled back, another version beside", with(rollout.RolledBack), true, []string{"v3", "v1", "v2"}, map[string]int{"v3": 100}, "v1", ""},
 		{"completed", with(rollout.Completed), true, []string{"v1", "v2", "v2"}, map[string]int{"v2": 100}, "", "v2"},
 		{"completed, another version since", with(rollout.Completed), true, []string{"v3", "v3"}, map[string]int{"v3": 100}, "v3", ""},
 	} {
--- a/briarrockd/rollout/registry.go
+++ b/briarrockd/rollout/registry.go
@@ -61,6 +61,7 @@
 	return r.confirmed
 }
 
+// updateActive sets active after a change. Step finds the orders that are over by then.
 func (r *Registry) updateActive() { r.active.Store(!r.confirmed || len(r.services) > 0) }
 
 // Adopt takes a state that comes from the store or a peer. fromPeer is set if a peer has
@@ -83,6 +84,7 @@
 	}
 	if merged.Order != t.state.Order {
 		r.services[s.Service] = newTracker(now, r.cfg, merged, r.seed)
+		r.updateActive()
 		return true
 	}
 	phase := merged.Phase
@@ -103,6 +105,9 @@
 	if t == nil {
 		return Choice{barred: !r.confirmed && !r.settled(now)}
 	}
+	if t.state.over(now) {
+		return Choice{}
+	}
 	return t.begin(now)
 }
 
@@ -140,7 +145,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.services[c.state.Service]
-	if t == nil {
+	if t == nil || t.state.over(now) {
 		return Choice{}
 	}
 	c.state = t.state
@@ -224,8 +229,10 @@
 		r.steppedAt = now
 	}
 	var out []Change
+	active := !r.confirmed
 	for _, service := range slices.Sorted(maps.Keys(r.services)) {
 		t := r.services[service]
+		active = active || !t.state.over(now)
 		before := t.state
 		f := fleet(service)
 		t.look(f)
@@ -236,6 +243,7 @@
 			out = append(out, Change{t.state, t.verdict})
 		}
 	}
+	r.active.Store(active)
 	return out
 }
 
--- a/briarrockd/rollout/rollout.go
+++ b/briarrockd/rollout/rollout.go
@@ -123,10 +123,30 @@
 	return float64(now.Sub(s.StartedAt)) / float64(max(s.Duration, time.Millisecond))
 }
 
-// allows reports whether a request may run at a version. next is set for the version to
+// endedKept is how long after its time limit an order that has ended excludes a version. By
+// then the targets of that version have stopped, and the same version may be started again.
+const endedKept = 30 * time.Second
+
+// over reports whether the order makes no difference any more.
+func (s State) over(now time.Time) bool {
+	return s.Phase.Ended() && s.Written && now.Sub(s.StartedAt) > s.Duration+endedKept
+}
+
+// allows reports whether a request may run at a version. After the end, only the version
+// that the roll-out left is excluded. next is set for the version to
 // which the traffic moves. A target without a known version belongs to a node that does not
 // know roll-outs yet, so it counts as the current one.
 func (s State) allows(version string, next bool) bool {
+	if s.Phase.Ended() {
+		switch {
+		case s.Target == s.Current:
+			return true
+		case s.Phase == Completed:
+			return version != s.Current && version != ""
+		default:
+			return version != s.Target
+		}
+	}
 	if next {
 		return version == s.Target
 	}
--- a/briarrockd/rollout/rollout_test.go
+++ b/briarrockd/rollout/rollout_test.go
@@ -77,6 +77,9 @@
 		{"target", State{Target: "v2", Current: "v1"}, true, []string{"v2"}, []string{"v1", "v3", ""}},
 		{"current unknown", State{Target: "v2"}, false, []string{"v1", ""}, []string{"v2"}},
 		{"back to the version in use", State{Target: "v1", Current: "v1"}, false, []string{"v1", ""}, []string{"v2"}},
+		{"completed", State{Target: "v2", Current: "v1", Phase: Completed}, true, []string{"v2", "v3", "v0"}, []string{"v1", ""}},
+		{"rolled back", State{Target: "v2", Current: "v1", Phase: RolledBack}, false, []string{"v1", "v3", ""}, []string{"v2"}},
+		{"withdrawn, the version in use", State{Target: "v1", Current: "v1", Phase: RolledBack}, false, []string{"v1", "v2", ""}, nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -114,6 +117,37 @@
 	c.Check(choice.Limited(), qt.IsFalse)
 }
 
+// TestEndedForgotten guards against an order that restricts versions for ever after it has
+// ended: replacements by another version would get no requests. Until endedKept after the
+// time limit, and while the status is not written, the excluded version stays excluded.
+func TestEndedForgotten(t *testing.T) {
+	for _, phase := range []Phase{RolledBack, Completed} {
+		c := qt.New(t)
+		r := New(Config{}, 1)
+		s := State{Service: "s", Order: 1, Target: "v2", Current: "v1", Duration: 12 * time.Second, StartedAt: start, Phase: phase}
+		r.Adopt(start, s, false)
+		at := func(d time.Duration) Choice {
+			r.Step(start.Add(d), func(string) Fleet { return Fleet{} })
+			return r.Begin(start.Add(d), "s")
+		}
+		long := s.Duration + endedKept + time.Second
+		choice := at(long)
+		c.Check(choice.Limited(), qt.IsTrue)
+		s.Written = true
+		r.Adopt(start.Add(long), s, false)
+		choice = at(s.Duration + endedKept - time.Second)
+		c.Check(choice.Limited(), qt.IsTrue)
+		choice = r.Again(start.Add(long), choice)
+		c.Check(choice.Limited(), qt.IsFalse)
+		choice = at(long)
+		c.Check(choice.Limited(), qt.IsFalse)
+		c.Check(r.Active(), qt.IsFalse)
+		s.Order, s.Phase, s.Written, s.StartedAt = 2, Observing, false, start.Add(long)
+		r.Adopt(start.Add(long), s, false)
+		c.Check(r.Active(), qt.IsTrue)
+	}
+}
+
 // TestCutOff guards against a node that is cut off and sends more than its share to the
 // target version: also if it knows of no other targets, and if the others have switched.
 func TestCutOff(t *testing.T) {
--- a/briarrockd/rollout/share.go
+++ b/briarrockd/rollout/share.go
@@ -71,10 +71,9 @@
 }
 
 // AllowsOtherwise reports whether the attempt may run at a version if there is no target
-// that Allows admits. After the end of a roll-out other versions may be started without an
-// order; only one that was rolled back is excluded.
+// that Allows admits: after a completed roll-out at one whose version is not known.
 func (c *Choice) AllowsOtherwise(version string) bool {
-	return c.state.Phase == Completed || (c.state.Phase == RolledBack && version != c.state.Target)
+	return c.limited && c.state.Phase == Completed && version == ""
 }
 
 // share returns the part of the requests that goes to the target version.
