target, caller: Drain where a host has no target at all

A call for targets of one version was answered Empty also if the host had no target of the service, so the caller's node did not take the host for draining. Empty is left for a host whose targets have another version. Calls are pinned to a version only until the order has ended.

TestVersion (no target at all) and TestEndedForgotten.

--- a/briarrockd/caller/versions.go
+++ b/briarrockd/caller/versions.go
@@ -43,7 +43,7 @@
 func (x *attempts) pickAllowed(now time.Time) (upstream, refusal, bool) {
 	c := x.c
 	u, ref, ok := x.p.deps.Balancer.pick(now, c.service.Name, allowed(&x.choice, c.upstreams), x.tried, c.route.Priority)
-	u.pinned = x.choice.Limited()
+	u.pinned = x.choice.Pinned()
 	return u, ref, ok
 }
 
--- a/briarrockd/rollout/rollout_test.go
+++ b/briarrockd/rollout/rollout_test.go
@@ -133,6 +133,7 @@
 		long := s.Duration + endedKept + time.Second
 		choice := at(long)
 		c.Check(choice.Limited(), qt.IsTrue)
+		c.Check(choice.Pinned(), qt.IsFalse)
 		s.Written = true
 		r.Adopt(start.Add(long), s, false)
 		choice = at(s.Duration + endedKept - time.Second)
--- a/briarrockd/rollout/share.go
+++ b/briarrockd/rollout/share.go
@@ -58,6 +58,10 @@
 // Limited reports whether the versions of targets make a difference.
 func (c *Choice) Limited() bool { return c.limited }
 
+// Pinned reports whether the next attempt may only run at the version of the target that was
+// chosen for it. After the end versions may be replaced by others without an order.
+func (c *Choice) Pinned() bool { return c.limited && !c.state.Phase.Ended() }
+
 // Next reports whether the next attempt goes to the target version.
 func (c *Choice) Next() bool { return c.next }
 
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -104,7 +104,7 @@
 	}
 	t.applyReports(ReadNotices(r.Header, now))
 	x := t.leastLoaded(c.service, c.version)
-	if x == nil && c.version != "" {
+	if x == nil && c.version != "" && t.leastLoaded(c.service, "") != nil {
 		// The target that the caller's node knows has been replaced by one of another version.
 		t.refuse(w, c, nil, Refuse{Kind: kind.Empty})
 		return
--- a/briarrockd/target/version_test.go
+++ b/briarrockd/target/version_test.go
@@ -29,7 +29,8 @@
 }
 
 // TestVersion guards against a call that runs at a target of another version than it is for,
-// because the target was replaced, and against durations of cold targets that are not marked.
+// because the target was replaced, against an answer that hides that there is no target at all,
+// and against durations of cold targets that are not marked.
 func TestVersion(t *testing.T) {
 	c := qt.New(t)
 	ts := newTargets(newFixedResponse(http.StatusOK, http.Header{}))
@@ -52,6 +53,11 @@
 	w = sendVersion(ts, "")
 	c.Check(w.Code, qt.Equals, http.StatusOK)
 	c.Check(w.Header().Get(HeaderTook), qt.Equals, "")
+	none := newTargets(newFixedResponse(http.StatusOK, http.Header{}))
+	defer none.Close()
+	w = sendVersion(none, "v2")
+	c.Check(kindOf(w), qt.Equals, kind.Drain)
+	c.Check(w.Header().Get(kind.HeaderRan), qt.Equals, "no")
 }
 
 // TestVersionsGossiped guards against versions that are sent where there are no roll-outs, or
