rollout: attempts are counted without a mutex

cfg.Share is never 0 after New, so each attempt took the Registry's mutex twice, also in deployments without roll-outs. The attempts are counted by atomic counters in a map that is replaced when a service or a version comes new. They are still counted before the first order, since a node must not report that it has switched while such an attempt runs at the old version.

TestStarted: 5 s time-out before, passes with the change.

--- a/briarrockd/rollout/registry.go
+++ b/briarrockd/rollout/registry.go
@@ -22,8 +22,10 @@
 	services  map[string]*tracker
 	// steppedAt is the time of the first Step.
 	steppedAt time.Time
-	// running is the number of attempts in flight by service and version.
-	running map[attemptKey]int
+	// running has the numbers of attempts in flight by service and version. The map is
+	// replaced, not modified, so that attempts are counted without the mutex, also those
+	// that begin before the first order.
+	running atomic.Pointer[map[attemptKey]*atomic.Int64]
 }
 
 type attemptKey struct{ service, version string }
@@ -34,8 +36,9 @@
 func New(cfg Config, seed uint64) *Registry {
 	r := &Registry{
 		cfg: cfg, seed: seed, confirmed: cfg.Share <= 0,
-		services: make(map[string]*tracker), running: make(map[attemptKey]int),
+		services: make(map[string]*tracker),
 	}
+	r.running.Store(&map[attemptKey]*atomic.Int64{})
 	if cfg.Share <= 0 {
 		r.cfg.Share = defaultShare
 	}
@@ -156,20 +159,33 @@
 
 // Started counts an attempt at a version as running until the returned function is called.
 func (r *Registry) Started(service, version string) (ended func()) {
-	if r == nil || !r.active.Load() && r.cfg.Share <= 0 {
+	if r == nil {
 		return func() {}
 	}
-	key := attemptKey{service, version}
-	r.mu.Lock()
-	r.running[key]++
-	r.mu.Unlock()
-	return sync.OnceFunc(func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if r.running[key]--; r.running[key] <= 0 {
-			delete(r.running, key)
+	n := r.counter(attemptKey{service, version})
+	n.Add(1)
+	var done atomic.Bool
+	return func() {
+		if !done.Swap(true) {
+			n.Add(-1)
 		}
-	})
+	}
+}
+
+func (r *Registry) counter(key attemptKey) *atomic.Int64 {
+	if n := (*r.running.Load())[key]; n != nil {
+		return n
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := (*r.running.Load())[key]; n != nil {
+		return n
+	}
+	next := maps.Clone(*r.running.Load())
+	n := new(atomic.Int64)
+	next[key] = n
+	r.running.Store(&next)
+	return n
 }
 
 // Observe counts the end of an attempt that reached a target.
@@ -197,8 +213,8 @@
 
 // drained reports whether no attempt is in flight at another version than the target one.
 func (r *Registry) drained(t *tracker) bool {
-	for key := range r.running {
-		if key.service == t.state.Service && key.version != t.state.Target {
+	for key, n := range *r.running.Load() {
+		if key.service == t.state.Service && key.version != t.state.Target && n.Load() > 0 {
 			return false
 		}
 	}
--- a/briarrockd/rollout/rollout_test.go
+++ b/briarrockd/rollout/rollout_test.go
@@ -149,6 +149,30 @@
 	}
 }
 
+// TestStarted guards against attempts that wait for the Registry in a deployment without
+// roll-outs, and against one that began before the first order and isn't counted.
+func TestStarted(t *testing.T) {
+	c := qt.New(t)
+	r := New(Config{}, 1)
+	r.Started("s", "v1")()
+	r.mu.Lock()
+	counted := make(chan func(), 1)
+	go func() { counted <- r.Started("s", "v1") }()
+	select {
+	case ended := <-counted:
+		defer ended()
+	case <-time.After(5 * time.Second):
+		c.Error("an attempt waits for the mutex")
+	}
+	r.mu.Unlock()
+	r.Adopt(start, State{Service: "s", Order: 1, Target: "v2", Current: "v1", Duration: 12 * time.Second, StartedAt: start}, false)
+	c.Check(r.drained(r.services["s"]), qt.IsFalse)
+	ended := r.Started("s", "v2")
+	ended()
+	ended()
+	c.Check((*r.running.Load())[attemptKey{"s", "v2"}].Load(), qt.Equals, int64(0))
+}
+
 // TestCutOff guards against a node that is cut off and sends more than its share to the
 // target version: also if it knows of no other targets, and if the others have switched.
 func TestCutOff(t *testing.T) {
