--- a/briarrockd/target/version_test.go
+++ b/briarrockd/target/version_test.go
@@ -53,8 +53,12 @@
 	w = sendVersion(ts, "")
 	c.Check(w.Code, qt.Equals, http.StatusOK)
 	c.Check(w.Header().Get(HeaderTook), qt.Equals, "")
-	none := newTargets(newFixedResponse(http.StatusOK, http.Header{}))
+	none := New(Deps{
+		OnChange: func([]peer.Target) {}, CrashCount: func(uint64) int { return 0 },
+		Log: event.New(io.Discard, true, logrus.ErrorLevel, "h"), StallTimeout: time.Minute, AnnouncementTimeout: time.Hour,
+	})
 	defer none.Close()
+	none.Configure(postingConfig)
 	w = sendVersion(none, "v2")
 	c.Check(kindOf(w), qt.Equals, kind.Drain)
 	c.Check(w.Header().Get(kind.HeaderRan), qt.Equals, "no")
