peer: Rollout frames only to peers that take them

With exposureshare set, a Rollout frame went over each new link, also to a node of an older release, which closes the link on an unknown frame: a deployment could not be upgraded host by host. Hello has a field Rollouts (15) now, and a frame is only sent if there is an order or to confirm that there is none.

TestRolloutPeers.

--- a/briarrockd/peer/frame.go
+++ b/briarrockd/peer/frame.go
@@ -46,6 +46,8 @@
 	// Proofs is set if the sender takes Proof frames. Other nodes close the link on
 	// one, since they can't decode it.
 	Proofs bool `cbor:"14,keyasint,omitempty"`
+	// Rollouts is set if the sender takes Rollout frames, for the same reason.
+	Rollouts bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Heartbeat is sent periodically over each link. It carries just enough for the
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -170,7 +170,9 @@
 	introductionUntil time.Time
 	// takesProofs is set if the peer takes Proof frames; proof is their state.
 	takesProofs bool
-	proof       proof.Link
+	// takesRollouts is set if the peer takes Rollout frames.
+	takesRollouts bool
+	proof         proof.Link
 	// unwantedSince is when the link ceased to be one that this node should have; zero
 	// if it should have it.
 	unwantedSince time.Time
@@ -356,6 +358,7 @@
 		RemoteFloor: c.version.remoteFloor,
 		Members:     c.Members(),
 		Proofs:      c.cfg.Strict,
+		Rollouts:    true,
 	}
 	if l != nil {
 		hello.Lazy = l.lazy
--- a/briarrockd/peer/rollout.go
+++ b/briarrockd/peer/rollout.go
@@ -142,16 +142,16 @@
 // roll-out must arrive as soon as possible. A from of 0 excludes no link.
 func (c *Core) floodRollouts(from LinkID, f Rollout) {
 	for _, l := range c.sortedLinks() {
-		if l.id != from {
+		if l.id != from && l.takesRollouts {
 			c.send(l, f)
 		}
 	}
 }
 
-// sendRollouts sends all roll-outs to a new peer. Nothing is sent in a deployment without
-// roll-outs.
+// sendRollouts sends all roll-outs to a new peer, or confirms that there are none. Nothing is
+// sent in a deployment without roll-outs.
 func (c *Core) sendRollouts(l *link) {
-	if c.cfg.Rollouts || len(c.rollouts.states) > 0 {
+	if l.takesRollouts && ((c.cfg.Rollouts && c.rollouts.confirmed) || len(c.rollouts.states) > 0) {
 		c.send(l, c.rolloutFrame(c.allRollouts(), true))
 	}
 }
--- a/briarrockd/peer/rollout_test.go
+++ b/briarrockd/peer/rollout_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -153,3 +154,48 @@
 		c.Check(err, qt.Equals, ErrFrame, qt.Commentf("%s", name))
 	}
 }
+
+// TestRolloutPeers guards against frames to a peer that doesn't take them, which would close
+// the link, and against frames that say nothing: there is no order, or none is known yet.
+func TestRolloutPeers(t *testing.T) {
+	for _, test := range []struct {
+		name                       string
+		enabled, confirmed, orders bool
+		want                       int // frames to a peer that takes them
+	}{
+		{"no roll-outs", false, false, false, 0},
+		{"none known yet", true, false, false, 0},
+		{"confirmed that there is none", true, true, false, 1},
+		{"an order", true, false, true, 1},
+		{"an order in a deployment without a share", false, false, true, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			core := New(Config{Self: member("a"), Rollouts: test.enabled}, rand.New(rand.NewPCG(1, 1)), now)
+			m := RolloutsChanged{Confirmed: test.confirmed}
+			s := rollout.State{Service: "s", Order: 3, Target: "v2", Duration: time.Minute, StartedAt: now}
+			if test.orders {
+				m.States = append(m.States, s)
+			}
+			core.Step(now, m)
+			cmds := core.Step(now, LinkUp{Link: 1, Hello: Hello{Member: member("b")}, Addr: "b:1"})
+			cmds = append(cmds, core.Step(now, LinkUp{Link: 2, Hello: Hello{Member: member("c"), Rollouts: true}, Addr: "c:1"})...)
+			sent := make(map[LinkID]int)
+			count := func(cmds []Cmd) {
+				for _, x := range cmds {
+					if s, ok := x.(Send); ok && s.Frame.code() == codeRollout {
+						sent[s.Link]++
+					}
+				}
+			}
+			count(cmds)
+			c.Check(sent[2], qt.Equals, test.want)
+			s.Phase = rollout.RolledBack
+			count(core.Step(now, RolloutsChanged{States: []rollout.State{s}}))
+			c.Check(sent[2], qt.Equals, test.want+1)
+			c.Check(sent[1], qt.Equals, 0)
+			c.Check(core.newHello(nil).Rollouts, qt.IsTrue)
+		})
+	}
+}
--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -388,6 +388,7 @@
 		id: m.Link, host: hello.Member.Host, domain: hello.Member.Domain, region: hello.Member.Region,
 		outbound: m.Addr != "", lazy: m.Addr == "" && hello.Lazy, lastReceived: c.now, openedAt: c.now,
 		nextHeartbeat: c.now.Add(c.jitter(heartbeatInterval)), version: hello.Version, takesProofs: hello.Proofs,
+		takesRollouts: hello.Rollouts,
 	}
 	c.links[l.id] = l
 	c.linkByHost[l.host] = l
