peer: retryMember only while sums or roll-outs are used

It changed the dials of every deployment: a root redialled unreachable members of other domains every 15 s. It runs only while the node uses mesh-wide sums or roll-outs, which depend on the links between the roots.

TestRetryMember.

--- a/briarrockd/peer/sums_test.go
+++ b/briarrockd/peer/sums_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"briarrock.example/briarrockd/rollout"
 )
 
 // sumsMesh is a simMesh whose hosts have counters.
@@ -169,6 +172,37 @@
 	})
 }
 
+// TestRetryMember guards against further dials of unreachable members in deployments that use
+// neither the mesh-wide sums nor roll-outs.
+func TestRetryMember(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		use   func(*Core)
+		tried bool
+	}{
+		{"neither", func(*Core) {}, false},
+		{"own counters", func(c *Core) { c.onCountersChanged(vectors{"a/x": {1}}) }, true},
+		{"totals of others", func(c *Core) { c.sums.totals = vectors{"a/x": {1}} }, true},
+		{"roll-outs", func(c *Core) { c.cfg.Rollouts = true }, true},
+		{"an order", func(c *Core) { c.rollouts.states = map[string]rollout.State{"s": {Service: "s", Order: 1}} }, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			far, substitute := member("b"), member("c")
+			far.Domain, substitute.Domain = "far", "far"
+			core := New(Config{Self: member("a")}, rand.New(rand.NewPCG(1, 1)), now)
+			core.Step(now, LinkUp{Link: 1, Hello: Hello{Member: substitute}, Addr: substitute.PeerAddr})
+			core.merge(1, far)
+			core.dials[far.PeerAddr] = &dialState{failures: 5, nextAt: now.Add(time.Hour)}
+			test.use(core)
+			core.now = now.Add(2 * memberRetryDelay)
+			core.maintainLinks()
+			d := core.dials[far.PeerAddr]
+			qt.Check(t, d != nil && !d.retriedAt.IsZero(), qt.Equals, test.tried)
+		})
+	}
+}
+
 // TestSumsFrames guards against frames that do not survive encoding, and against
 // vectors without a bound.
 func TestSumsFrames(t *testing.T) {
--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -213,42 +213,16 @@
 	return order[(i+d.failures)%len(order)]
 }
 
-// Times of retryMember.
-const (
-	// memberRetryDelay leaves the substitute time to send the records of its domain,
-	// which may tell that the member is dead.
-	memberRetryDelay    = 2 * time.Second
-	memberRetryInterval = 15 * time.Second
-)
-
-// retryMember permits another dial of a member of another domain for which pickMember
-// has chosen the member at the other end of l, now that its domain can be reached.
-// Otherwise that link would stay in place of the one between the roots after the end of
-// a partition or the restart of a root.
-func (c *Core) retryMember(l *link) {
-	if !l.outbound || l.domain == c.self.Domain || c.now.Sub(l.openedAt) < memberRetryDelay {
-		return
-	}
-	order := c.table.members(l.domain)
-	for _, r := range order[:min(len(order), bridgesPerDomain)] {
-		d := c.dials[r.PeerAddr]
-		if r.Host == l.host || d == nil || d.failures < 2 || d.inProgress || c.linkByHost[r.Host] != nil ||
-			c.now.Sub(d.retriedAt) < memberRetryInterval {
-			continue
-		}
-		// One more failure makes pickMember choose the substitute again.
-		d.failures, d.nextAt, d.retriedAt = 1, c.now, c.now
-	}
-}
-
 // maintainLinks dials the links that this node should have and closes those that it
 // should not.
 func (c *Core) maintainLinks() {
 	if c.self.State == Leaving {
 		return
 	}
-	for _, l := range c.sortedLinks() {
-		c.retryMember(l)
+	if c.usesRoots() {
+		for _, l := range c.sortedLinks() {
+			c.retryMember(l)
+		}
 	}
 	wanted := make(map[string]bool)
 	for _, r := range c.neighbours() {
