rollout, peer, platform: an isolated node does not complete a roll-out

A node that was cut off held all others for dead after some seconds, counted one member, and switched and completed by its own sums; with the store reachable it wrote completed for the whole mesh. The state keeps the largest number of members seen since the order, in the record and in Rollout frames too, and going on and completing need more than half of that. A mesh of two of which one has failed completes no roll-out.

--- a/briarrockd/peer/rollout.go
+++ b/briarrockd/peer/rollout.go
@@ -14,6 +14,8 @@
 	rolloutInterval = time.Second
 	// maxRollouts is the maximum number of services with roll-outs.
 	maxRollouts = 256
+	// maxMeshSize bounds the number of members in a frame.
+	maxMeshSize = 1 << 16
 	// maxRolloutDuration bounds the time limit and the age of an order in a frame.
 	maxRolloutDuration = 24 * time.Hour
 	// codeRollout is the type code of Rollout; see codeHello.
@@ -31,6 +33,7 @@
 	Age      uint64        `cbor:"6,keyasint"`
 	Phase    rollout.Phase `cbor:"7,keyasint,omitempty"`
 	Written  bool          `cbor:"8,keyasint,omitempty"`
+	Members  int           `cbor:"9,keyasint,omitempty"`
 }
 
 // Rollout carries roll-outs that have changed, and at intervals those that are open.
@@ -50,7 +53,7 @@
 	}
 	for i := range f.States {
 		s := &f.States[i]
-		if s.Service == "" || max(len(s.Service), len(s.Target), len(s.Current)) > maxNameSize || s.Phase > rollout.Completed ||
+		if s.Service == "" || max(len(s.Service), len(s.Target), len(s.Current)) > maxNameSize || s.Phase > rollout.Completed || s.Members < 0 || s.Members > maxMeshSize ||
 			max(s.Duration, s.Age) > uint64(maxRolloutDuration.Milliseconds()) {
 			return false
 		}
@@ -181,7 +184,7 @@
 	f := Rollout{Confirmed: c.rollouts.confirmed, Whole: whole}
 	for _, s := range states {
 		f.States = append(f.States, RolloutState{
-			Service: s.Service, Order: s.Order, Target: s.Target, Current: s.Current, Phase: s.Phase, Written: s.Written,
+			Service: s.Service, Order: s.Order, Target: s.Target, Current: s.Current, Phase: s.Phase, Written: s.Written, Members: s.Members,
 			Duration: uint64(s.Duration.Milliseconds()),
 			Age:      uint64(min(max(c.now.Sub(s.StartedAt), 0), maxRolloutDuration).Milliseconds()),
 		})
@@ -191,7 +194,7 @@
 
 func (s RolloutState) state(now time.Time) rollout.State {
 	return rollout.State{
-		Service: s.Service, Order: s.Order, Target: s.Target, Current: s.Current, Phase: s.Phase, Written: s.Written,
+		Service: s.Service, Order: s.Order, Target: s.Target, Current: s.Current, Phase: s.Phase, Written: s.Written, Members: s.Members,
 		Duration:  time.Duration(s.Duration) * time.Millisecond,
 		StartedAt: now.Add(-time.Duration(s.Age) * time.Millisecond),
 	}
--- a/briarrockd/peer/rollout_test.go
+++ b/briarrockd/peer/rollout_test.go
@@ -138,6 +138,7 @@
 		"no service":         func(s *RolloutState) { s.Service = "" },
 		"a long version":     func(s *RolloutState) { s.Target = strings.Repeat("v", maxNameSize+1) },
 		"an unknown phase":   func(s *RolloutState) { s.Phase = rollout.Completed + 1 },
+		"a negative size":    func(s *RolloutState) { s.Members = -1 },
 		"an age of years":    func(s *RolloutState) { s.Age = 1 << 40 },
 		"a limit of years":   func(s *RolloutState) { s.Duration = 1 << 63 },
 		"a long old version": func(s *RolloutState) { s.Current = strings.Repeat("v", maxNameSize+1) },
--- a/briarrockd/rollout/registry.go
+++ b/briarrockd/rollout/registry.go
@@ -82,6 +82,9 @@
 		t.heardAt = now
 	}
 	merged := Merge(t.state, s)
+	if merged.Order == t.state.Order {
+		t.state.Members = merged.Members // no news by itself
+	}
 	if merged == t.state {
 		return false
 	}
@@ -255,7 +258,7 @@
 		if r.settled(now) {
 			t.decide(now, f)
 		}
-		if t.state != before {
+		if before.Members = t.state.Members; t.state != before {
 			out = append(out, Change{t.state, t.verdict})
 		}
 	}
--- a/briarrockd/rollout/rollout.go
+++ b/briarrockd/rollout/rollout.go
@@ -70,6 +70,9 @@
 	// StartedAt is when the order was first seen, by the local clock.
 	StartedAt time.Time `json:"startedAt"`
 	Phase     Phase     `json:"phase"`
+	// Members is the largest number of live members of the mesh that was seen since the
+	// order. A part of the mesh that is cut off sees fewer, but decides nothing by them.
+	Members int `json:"members,omitempty"`
 	// Written is set once the status in the store says how the roll-out ended.
 	Written bool `json:"written,omitempty"`
 }
@@ -104,6 +107,7 @@
 	if a.Current == "" {
 		a.Current = b.Current
 	}
+	a.Members = max(a.Members, b.Members)
 	if b.StartedAt.Before(a.StartedAt) {
 		a.StartedAt = b.StartedAt
 	}
--- a/briarrockd/rollout/rollout_test.go
+++ b/briarrockd/rollout/rollout_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -173,6 +174,36 @@
 	c.Check((*r.running.Load())[attemptKey{"s", "v2"}].Load(), qt.Equals, int64(0))
 }
 
+// TestIsolated guards against a node that is cut off, holds all others for dead, and completes
+// the roll-out for the whole mesh; also one that was told the size of the mesh by the record.
+func TestIsolated(t *testing.T) {
+	for _, phase := range []Phase{Observing, Mostly, Switched} {
+		for _, restarted := range []bool{false, true} {
+			t.Run(fmt.Sprint(phase, restarted), func(t *testing.T) {
+				c := qt.New(t)
+				r := newSettled(1)
+				s := State{Service: "s", Order: 1, Target: "v2", Current: "v1", Duration: 12 * time.Second, StartedAt: start, Phase: phase}
+				f := Fleet{Versions: map[string]int{"v1": 6, "v2": 6}, Targets: map[string]int{"v1": 1, "v2": 1}, Members: 60}
+				if restarted {
+					s.Members = 60
+				}
+				r.Adopt(start, s, true)
+				if !restarted {
+					r.Step(start, func(string) Fleet { return f })
+				}
+				f.Members = 1
+				for at := time.Second; at < 12*time.Second; at += 100 * time.Millisecond {
+					now := start.Add(at)
+					r.SetSums(now, r.Counters(now), 1)
+					r.Step(now, func(string) Fleet { return f })
+					c.Assert(r.Completable(now, "s", 1, f), qt.IsFalse)
+				}
+				c.Check(r.States()[0].Phase, qt.Equals, phase)
+			})
+		}
+	}
+}
+
 // TestCutOff guards against a node that is cut off and sends more than its share to the
 // target version: also if it knows of no other targets, and if the others have switched.
 func TestCutOff(t *testing.T) {
--- a/briarrockd/rollout/share.go
+++ b/briarrockd/rollout/share.go
@@ -132,13 +132,13 @@
 // not count once it has switched: the sums also lack a part for a moment when a host dies that
 // passes them on, and the targets of the current version may be stopping.
 func (t *tracker) alone(now time.Time) bool {
-	if t.members <= 1 {
+	if t.state.Members <= 1 {
 		return false
 	}
 	if now.Sub(t.heardAt) > aloneAfter {
 		return true
 	}
-	return (t.state.Phase == Ramping || t.state.Phase == Mostly) && 2*t.freshNodes(now) <= t.members
+	return (t.state.Phase == Ramping || t.state.Phase == Mostly) && 2*t.freshNodes(now) <= t.state.Members
 }
 
 // freshNodes returns the number of nodes that the sums include; 0 if they are old.
--- a/briarrockd/rollout/tracker.go
+++ b/briarrockd/rollout/tracker.go
@@ -99,7 +99,6 @@
 	ownBefore routeEvidence
 	// heardAt is when the node last heard of the order from a peer.
 	heardAt               time.Time
-	members               int
 	hasCurrent, hasTarget bool
 	sums                  meshSums
 	sumsAt                time.Time
@@ -272,7 +271,7 @@
 // look takes note of the targets and members that the node knows.
 func (t *tracker) look(f Fleet) {
 	s := &t.state
-	t.members = f.Members
+	s.Members = max(s.Members, f.Members)
 	t.hasTarget = f.Targets[s.Target] > 0
 	t.hasCurrent = false
 	for version, n := range f.Targets {
@@ -339,10 +338,11 @@
 		}
 		return
 	}
+	s := &t.state
 	if t.state.Phase >= Switched || t.verdict.Doubtful || t.doubted() {
 		return
 	}
-	if t.alone(now) || (f.Members > 1 && 2*t.freshNodes(now) <= f.Members) {
+	if t.alone(now) || (s.Members > 1 && 2*t.freshNodes(now) <= s.Members) {
 		return
 	}
 	if progress < fullSlotsUntil && float64(f.Versions[t.state.Target]) < minSlotShare*float64(f.Versions[t.state.Current]) {
@@ -399,14 +399,14 @@
 	if t.state.Target != t.state.Current && (progress < completeAt || (progress < lastAt && now.Sub(t.phaseAt) < t.part(switchedTime))) {
 		return false
 	}
-	s := &t.sums
+	s, all := &t.sums, max(t.state.Members, f.Members)
 	switch {
-	case s.switched >= f.Members:
+	case s.switched >= f.Members && 2*s.switched > all:
 		return true
-	case progress >= lastAt && 2*s.moved > f.Members && s.moved >= s.nodes:
+	case progress >= lastAt && 2*s.moved > all && s.moved >= s.nodes:
 		return true
 	default:
-		return progress >= forceAt && 2*s.switched > f.Members && s.switched >= s.nodes
+		return progress >= forceAt && 2*s.switched > all && s.switched >= s.nodes
 	}
 }
 
