rollout: a node that has switched does not go back when cut off

A node in Switched that heard nothing for 2.5 s refused its requests or sent them to targets of the old version, which could be stopping, since the others may count it as switched for 4.5 s longer. It goes back only after 5.5 s without news, while there are targets of the old version and less than forceAt of the time limit has passed.

TestCutOff: the case of a switched node that knows the target version only demanded at most 21 of 1000 requests there, which is to refuse the rest; it now demands all of them, and the old bound holds for a node that also knows the old version. TestSeeds checks that no node sends to the old version when a roll-out is first completable.

--- a/briarrockd/rollout/registry.go
+++ b/briarrockd/rollout/registry.go
@@ -155,7 +155,7 @@
 		return Choice{}
 	}
 	c.state = t.state
-	c.next = t.state.Phase == Completed || (t.state.Phase == Switched && !t.alone(now))
+	c.next = t.state.Phase == Completed || t.onlyTarget(now)
 	c.strict = true
 	return c
 }
--- a/briarrockd/rollout/rollout_test.go
+++ b/briarrockd/rollout/rollout_test.go
@@ -205,25 +205,33 @@
 }
 
 // TestCutOff guards against a node that is cut off and sends more than its share to the
-// target version: also if it knows of no other targets, and if the others have switched.
+// target version: also if it knows of no other targets, and if the others have switched. Once
+// it has switched, it guards against refusals where there are no other targets or these may be
+// stopping, and against a node that takes a short gap in the sums for a cut.
 func TestCutOff(t *testing.T) {
+	both := Fleet{Versions: map[string]int{"v1": 6, "v2": 6}, Targets: map[string]int{"v1": 1, "v2": 1}, Members: 9}
 	for _, test := range []struct {
 		name  string
 		phase Phase
 		fleet Fleet
-		max   int // of 1000 requests
+		at    time.Duration
+		min   int // of 1000 requests
+		max   int
 	}{
-		{"both versions", Observing, Fleet{Versions: map[string]int{"v1": 6, "v2": 6}, Targets: map[string]int{"v1": 1, "v2": 1}, Members: 9}, 0},
-		{"only the target version", Observing, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 1},
-		{"ramping", Ramping, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 21},
-		{"switched", Switched, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 21},
-		{"rolled back", RolledBack, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 0},
+		{"both versions", Observing, Fleet{Versions: map[string]int{"v1": 6, "v2": 6}, Targets: map[string]int{"v1": 1, "v2": 1}, Members: 9}, 3 * time.Second, 0, 0},
+		{"only the target version", Observing, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 3 * time.Second, 0, 1},
+		{"ramping", Ramping, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 3 * time.Second, 0, 21},
+		{"switched", Switched, both, 7 * time.Second, 0, 21},
+		{"switched, a gap", Switched, both, 3 * time.Second, 1000, 1000},
+		{"switched, only the target version", Switched, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 7 * time.Second, 1000, 1000},
+		{"switched, near the time limit", Switched, both, 11900 * time.Millisecond, 1000, 1000},
+		{"rolled back", RolledBack, Fleet{Versions: map[string]int{"v2": 6}, Targets: map[string]int{"v2": 1}, Members: 9}, 3 * time.Second, 0, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			r := New(Config{Share: 0.1, Slack: 50}, 1)
 			r.Adopt(start, State{Service: "s", Order: 1, Target: "v2", Current: "v1", Duration: 12 * time.Second, StartedAt: start, Phase: test.phase}, true)
-			now := start.Add(3 * time.Second)
+			now := start.Add(test.at)
 			r.Step(now, func(string) Fleet { return test.fleet })
 			next := 0
 			for range 1000 {
@@ -235,7 +243,7 @@
 					r.Reached(now, "s")
 				}
 			}
-			c.Check(next <= test.max, qt.IsTrue, qt.Commentf("%d requests at the target version", next))
+			c.Check(next >= test.min && next <= test.max, qt.IsTrue, qt.Commentf("%d requests at the target version", next))
 		})
 	}
 }
--- a/briarrockd/rollout/seeds_test.go
+++ b/briarrockd/rollout/seeds_test.go
@@ -45,7 +45,10 @@
 	badAnswers  int
 	// late are the requests at the target version more than rollback after the 50th bad
 	// answer, endedAt is when the first node decided the end.
-	late    int
+	late int
+	// stale are the nodes that sent to the old version when a node first found the roll-out
+	// completable.
+	stale   int
 	endedAt time.Duration
 	verdict Verdict
 }
@@ -199,6 +202,11 @@
 			}
 			if out.endedAt == 0 && n.Completable(now, "s", 1, fleet) {
 				out.endedAt = at
+				for _, n := range nodes {
+					if choice := n.Begin(now, "s"); !choice.Barred() && !choice.Next() {
+						out.stale++
+					}
+				}
 				s := latest
 				s.Phase, s.Written = Completed, true
 				floods[tick+5] = append(floods[tick+5], s)
@@ -260,6 +268,7 @@
 					ends[out.phase.String()+" "+out.verdict.Cause]++
 					if !bad {
 						c.Check(out.phase, qt.Equals, Completed, at)
+						c.Check(out.stale, qt.Equals, 0, at)
 						continue
 					}
 					if out.phase == Completed {
@@ -267,6 +276,7 @@
 					}
 					worst = max(worst, out.sent-0.1*out.calls)
 					c.Check(out.late, qt.Equals, 0, at)
+					c.Check(out.stale, qt.Equals, 0, at)
 					if size.rate == 40 {
 						// The probe has some ten requests, too few to tell in each run that some
 						// of them fail. The log says how many runs are above the bound.
--- a/briarrockd/rollout/share.go
+++ b/briarrockd/rollout/share.go
@@ -43,6 +43,11 @@
 // off. Peers repeat open orders every second.
 const aloneAfter = 2500 * time.Millisecond
 
+// switchedAloneAfter is aloneAfter of a node that has switched. The others may count it as
+// switched for peer.sumsTimeout (2 s) and sumsMaxAge after they have last heard from it, and
+// complete the roll-out by that; until then it must not go back. A second is added for delays.
+const switchedAloneAfter = 2*time.Second + sumsMaxAge + time.Second
+
 // Choice is the decision for one request: which versions its attempts may run at. The zero
 // Choice allows all.
 type Choice struct {
@@ -104,7 +109,7 @@
 		}
 		return mostlyShare
 	case Switched:
-		if t.alone(now) {
+		if !t.onlyTarget(now) {
 			return quietShare * t.cfg.Share
 		}
 		return 1
@@ -135,7 +140,11 @@
 	if t.state.Members <= 1 {
 		return false
 	}
-	if now.Sub(t.heardAt) > aloneAfter {
+	limit := aloneAfter
+	if t.state.Phase == Switched {
+		limit = switchedAloneAfter
+	}
+	if now.Sub(t.heardAt) > limit {
 		return true
 	}
 	return (t.state.Phase == Ramping || t.state.Phase == Mostly) && 2*t.freshNodes(now) <= t.state.Members
@@ -162,6 +171,12 @@
 	t.credit = min(t.credit+t.share(now), maxCredit)
 }
 
+// onlyTarget reports whether all requests go to the target version. A node that is cut off
+// goes back to the current one only while that has targets and can't have been stopped.
+func (t *tracker) onlyTarget(now time.Time) bool {
+	return t.state.Phase == Switched && (!t.alone(now) || !t.hasCurrent || t.state.progress(now) >= forceAt)
+}
+
 // begin decides for a request which version its first attempt goes to.
 func (t *tracker) begin(now time.Time) Choice {
 	c := Choice{limited: true, state: t.state}
@@ -170,7 +185,7 @@
 		c.next = t.state.Phase == Completed
 		c.strict = true
 		return c
-	case t.state.Phase == Switched && !t.alone(now):
+	case t.onlyTarget(now):
 		c.next, c.strict = true, true
 		t.sent++
 		return c
