rollout, node: the record's start is ignored where the order is known

The record's start is by the wall clock of its writer and the reader. Since the earlier start counts, a wall clock that had jumped ended the time limit of an open order at all nodes at once. KeepStart replaces it where the node knows the order. A node that knows no order yet still takes the start from the record.

--- a/briarrockd/node/rollout.go
+++ b/briarrockd/node/rollout.go
@@ -123,6 +123,7 @@
 // ReportRollouts takes orders that the platform has, and what is written about them.
 // confirmed is set if these are all.
 func (h *WatchHandle) ReportRollouts(states []rollout.State, confirmed bool) {
+	states = h.node.rollouts.KeepStart(states)
 	h.node.adoptRollouts(states, false)
 	if confirmed {
 		h.node.rollouts.Confirm()
--- a/briarrockd/node/rolloutstore.go
+++ b/briarrockd/node/rolloutstore.go
@@ -21,7 +21,7 @@
 
 // Order implements operator.Rollouts.
 func (n *Node) Order(s rollout.State) {
-	states := []rollout.State{s}
+	states := n.rollouts.KeepStart([]rollout.State{s})
 	n.adoptRollouts(states, false)
 	n.sendToCore(peer.RolloutsChanged{States: states})
 }
--- a/briarrockd/rollout/registry.go
+++ b/briarrockd/rollout/registry.go
@@ -100,6 +100,20 @@
 	return true
 }
 
+// KeepStart returns states from the store with the starts that this node knows of their
+// orders. A start from the store is by the wall clock, which may jump.
+func (r *Registry) KeepStart(states []State) []State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := slices.Clone(states)
+	for i := range out {
+		if t := r.services[out[i].Service]; t != nil && t.state.Order == out[i].Order {
+			out[i].StartedAt = t.state.StartedAt
+		}
+	}
+	return out
+}
+
 // Begin decides for one request which versions it may run at.
 func (r *Registry) Begin(now time.Time, service string) Choice {
 	if r == nil || !r.active.Load() {
