rollout: restarts neither renew the slack nor delay a rollback

After a restart the counters begin at 0 and a node spent the slack as if nothing of it were used, and all rollbacks waited until nodes had settled (3 s). A node that first knows an order more than 2 s after its start uses no slack now, and an unsettled one rolls back by bad answers; it leaves the worst group of targets out, since it may not know all targets yet.

TestUnsettledRollback fails without the change.

--- a/briarrockd/rollout/registry.go
+++ b/briarrockd/rollout/registry.go
@@ -269,9 +269,7 @@
 		before := t.state
 		f := fleet(service)
 		t.look(f)
-		if r.settled(now) {
-			t.decide(now, f)
-		}
+		t.decide(now, f, r.settled(now))
 		if before.Members = t.state.Members; t.state != before {
 			out = append(out, Change{t.state, t.verdict})
 		}
@@ -283,8 +281,8 @@
 // Active reports whether a request has to ask the Registry.
 func (r *Registry) Active() bool { return r.active.Load() }
 
-// settleTime is how long a node that has just started leaves all decisions to the others: it
-// may not know all members and targets yet. It also bounds how long requests are refused
+// settleTime is how long a node that has just started leaves all decisions but a rollback for
+// bad answers to the others: it may not know all members and targets yet. It also bounds how long requests are refused
 // because no order is known: with the store down and no peer nothing would ever confirm that.
 const settleTime = 3 * time.Second
 
--- a/briarrockd/rollout/rollout_test.go
+++ b/briarrockd/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -150,6 +151,38 @@
 	}
 }
 
+// TestUnsettledRollback guards against a bad version that gets requests until a node that was
+// restarted has settled, against one that takes the fault of a single target for one of the
+// version since it knows no other targets yet, and against slack that is spent once more.
+func TestUnsettledRollback(t *testing.T) {
+	c := qt.New(t)
+	f := Fleet{Versions: map[string]int{"v1": 6, "v2": 6}, Targets: map[string]int{"v1": 1, "v2": 1}, Members: 1}
+	now := start.Add(4 * time.Second)
+	s := State{Service: "s", Order: 1, Target: "v2", Current: "v1", Duration: 12 * time.Second, StartedAt: start}
+	for failing, want := range map[int]Phase{1: Observing, 10: RolledBack} {
+		r := New(Config{Share: 0.1, Slack: 50}, 1)
+		r.Adopt(now, s, false)
+		for i := range 100 {
+			host := i % 10
+			r.Observe(Outcome{Service: "s", Route: "r", Version: "v1", Host: "a", Duration: time.Second})
+			r.Observe(Outcome{Service: "s", Route: "r", Version: "v2", Host: "b" + strconv.Itoa(host), Duration: time.Second, Failed: host < failing})
+		}
+		r.SetSums(now, r.Counters(now), 1)
+		r.Step(now, func(string) Fleet { return f })
+		c.Check(r.States()[0].Phase, qt.Equals, want)
+	}
+	t.Run("slack", func(t *testing.T) {
+		for _, test := range []struct {
+			age   time.Duration
+			slack bool
+		}{{time.Second, true}, {3 * time.Second, false}} {
+			x := newTracker(start.Add(test.age), Config{Share: 0.1, Slack: 50}, s, 1)
+			x.hasTarget, x.sumsAt, x.sums, x.slackCredit = true, start.Add(4*time.Second), meshSums{nodes: 1, calls: 40}, 0.9
+			qt.Check(t, x.useSlack(start.Add(4*time.Second)), qt.Equals, test.slack)
+		}
+	})
+}
+
 // TestStarted guards against attempts that wait for the Registry in a deployment without
 // roll-outs, and against one that began before the first order and isn't counted.
 func TestStarted(t *testing.T) {
--- a/briarrockd/rollout/seeds_test.go
+++ b/briarrockd/rollout/seeds_test.go
@@ -27,6 +27,8 @@
 	// faulty restarts a node each second, and cuts a tenth of the nodes off from the others
 	// between cutFrom and cutTo.
 	faulty bool
+	// restartAt is when all nodes are restarted; 0 for never.
+	restartAt time.Duration
 }
 
 const (
@@ -91,6 +93,13 @@
 	for tick := range int(rehearsalLimit / rehearsalTick) {
 		at := time.Duration(tick) * rehearsalTick
 		now := start.Add(at)
+		if x.restartAt > 0 && at == x.restartAt {
+			for i := range nodes {
+				nodes[i] = New(Config{Share: 0.1, Slack: 50}, rng.Uint64())
+				nodes[i].Confirm()
+				nodes[i].Adopt(now, latest, false)
+			}
+		}
 		if tick%50 == 0 {
 			if x.faulty && tick > 0 {
 				nodes[rng.IntN(x.nodes)] = New(Config{Share: 0.1, Slack: 50}, rng.Uint64())
@@ -290,3 +299,25 @@
 		}
 	}
 }
+
+// TestRestartAll guards against a bad version that gets the slack anew after a restart of all
+// nodes, or gets requests until these have settled.
+func TestRestartAll(t *testing.T) {
+	for _, size := range []struct {
+		nodes int
+		rate  float64
+		fails float64
+	}{{10, 5, 0.3}, {10, 5, 1}, {100, 40, 0.3}, {100, 40, 1}, {100, 300, 0.3}, {100, 300, 1}} {
+		for _, at := range []time.Duration{1500 * time.Millisecond, 3 * time.Second, 5 * time.Second} {
+			t.Run(fmt.Sprintf("%d nodes/%.0f a second/%.1f/%s", size.nodes, size.rate, size.fails, at), func(t *testing.T) {
+				for seed := range uint64(6) {
+					x := rehearsal{nodes: size.nodes, rate: size.rate, targets: 4, fault: failing(size.fails), restartAt: at}
+					out := x.run(seed)
+					comment := qt.Commentf("seed %d: %+v", seed, out)
+					qt.Check(t, out.late, qt.Equals, 0, comment)
+					qt.Check(t, out.sent <= 0.1*out.calls+50, qt.IsTrue, comment)
+				}
+			})
+		}
+	}
+}
--- a/briarrockd/rollout/share.go
+++ b/briarrockd/rollout/share.go
@@ -35,6 +35,10 @@
 	slackShare = 0.5
 	// maxSlackShare leaves enough requests to the current version to compare with.
 	maxSlackShare = 0.5
+	// slackKnownBy is the age of an order up to which a node that first knows it then takes
+	// part in the use of the slack. One that was restarted later does not know how much of it
+	// is used, since the counters have begun at 0.
+	slackKnownBy = 2 * time.Second
 	// slackDelay is how long the rate is measured first.
 	slackDelay = time.Second
 )
@@ -217,7 +221,7 @@
 // useSlack reports whether a request goes to the target version beyond the share, since the
 // service has too few requests to judge the version by the share alone.
 func (t *tracker) useSlack(now time.Time) bool {
-	if t.state.Phase != Observing || !t.hasTarget || t.alone(now) || now.Sub(t.sumsAt) > slackMaxAge {
+	if t.begunAt.Sub(t.state.StartedAt) > slackKnownBy || t.state.Phase != Observing || !t.hasTarget || t.alone(now) || now.Sub(t.sumsAt) > slackMaxAge {
 		return false
 	}
 	elapsed := now.Sub(t.state.StartedAt)
--- a/briarrockd/rollout/tracker.go
+++ b/briarrockd/rollout/tracker.go
@@ -105,6 +105,8 @@
 	judgement             judgement
 	// phaseAt is when the current phase began.
 	phaseAt time.Time
+	// begunAt is when this node first knew the order.
+	begunAt time.Time
 	verdict Verdict
 }
 
@@ -122,7 +124,7 @@
 func newTracker(now time.Time, cfg Config, s State, seed uint64) *tracker {
 	return &tracker{
 		cfg: cfg, state: s, credit: phaseOffset(seed, s.Service, s.Order), slackCredit: phaseOffset(seed+1, s.Service, s.Order),
-		own: make(map[string][]uint64), heardAt: now, phaseAt: now,
+		own: make(map[string][]uint64), heardAt: now, phaseAt: now, begunAt: now,
 	}
 }
 
@@ -279,25 +281,33 @@
 	}
 }
 
-// decide decides whether the roll-out goes on to another phase.
-func (t *tracker) decide(now time.Time, f Fleet) {
+// decide decides whether the roll-out goes on to another phase. Before the node has settled,
+// only answers of the target version can end the roll-out.
+func (t *tracker) decide(now time.Time, f Fleet, settled bool) {
 	s := &t.state
 	if s.Phase.Ended() {
 		return
 	}
-	if s.Current == "" {
+	if s.Current == "" && settled {
 		s.Current = mostUsed(f.Versions, s.Target)
 		if s.Current == "" && f.Versions[s.Target] > 0 && f.Versions[""] == 0 && now.Sub(s.StartedAt) >= membersDelay {
 			s.Current = s.Target
 		}
 	}
 	if s.Target == s.Current {
-		t.enter(now, Switched)
+		if settled {
+			t.enter(now, Switched)
+		}
 		return
 	}
 	targets := f.Targets[s.Target]
+	if !settled {
+		// The node may not know all targets yet, and must not take a fault of one of several
+		// for one of the version.
+		targets = max(targets, minSpread)
+	}
 	t.verdict = t.judgement.judge(t.sums.routes, targets, s.Phase).or(t.judgeOwn(targets))
-	if t.doubted() && s.progress(now) >= giveUpAt && !t.verdict.Bad {
+	if settled && t.doubted() && s.progress(now) >= giveUpAt && !t.verdict.Bad {
 		t.verdict.Bad = true
 		t.verdict.Cause = cmp.Or(t.verdict.Cause, "doubt")
 	}
@@ -305,7 +315,9 @@
 		t.enter(now, RolledBack)
 		return
 	}
-	t.advance(now, f)
+	if settled {
+		t.advance(now, f)
+	}
 }
 
 // membersDelay is how old an order must be before a version counts as the one in use since
