--- a/briarrockd/caller/versions.go
+++ b/briarrockd/caller/versions.go
@@ -17,7 +17,8 @@
 // target version or the current one by the node's share, and all others to the current one.
 func (x *attempts) pick(now time.Time) (upstream, refusal, bool) {
 	r, c := x.p.deps.Rollouts, x.c
-	if len(x.tried) == 0 {
+	if len(x.tried) == 0 || !x.choice.Limited() {
+		// An order may have arrived since an attempt that was not limited.
 		x.choice = r.Begin(now, c.service.Name)
 	} else {
 		x.choice = r.Again(now, x.choice)
--- a/briarrockd/caller/versions_test.go
+++ b/briarrockd/caller/versions_test.go
@@ -95,6 +95,28 @@
 	}
 }
 
+// TestOrderBetweenAttempts guards against a repeat that may run at any version, since the call
+// began before the order arrived.
+func TestOrderBetweenAttempts(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	r := rollout.New(rollout.Config{Share: 0.1, Slack: 50}, 3)
+	r.Confirm()
+	var members []peer.Member
+	for i, v := range []string{"v1", "v2", "v2"} {
+		members = append(members, peer.Member{Host: string(rune('a' + i)), Domain: "d", Region: "r", Targets: []peer.Target{{Service: "orderdesk", Slots: 1000, Version: v}}})
+	}
+	svc := snapshot.Service{Name: "orderdesk", Slots: 1000}
+	table := NewTable(1, &snapshot.Snapshot{Services: []snapshot.Service{svc}}, members)
+	x := &attempts{p: New(Deps{Balancer: NewBalancer("d", "r", 1), Rollouts: r}), c: &call{service: &service{Service: &svc}, upstreams: table.upstreams["orderdesk"]}}
+	u, _, ok := x.pick(now)
+	c.Assert(ok, qt.IsTrue)
+	x.tried = append(x.tried, u.host)
+	r.Adopt(now, rollout.State{Service: "orderdesk", Order: 1, Target: "v2", Current: "v1", Duration: 12 * time.Second, StartedAt: now, Phase: rollout.RolledBack}, false)
+	u, _, ok = x.pick(now)
+	c.Check(ok, qt.IsFalse, qt.Commentf("picked %s", u.version))
+}
+
 // TestPinned guards against a request that runs at a target whose version has changed since
 // its node was asked: the header names the version.
 func TestPinned(t *testing.T) {
--- a/briarrockd/node/rollout.go
+++ b/briarrockd/node/rollout.go
@@ -157,6 +157,9 @@
 // RolloutsEnabled reports whether the deployment has roll-outs.
 func (h *WatchHandle) RolloutsEnabled() bool { return h.node.platform.Rollout.Share > 0 }
 
+// RolloutsConfirmed reports whether this node knows all orders, by the platform or by peers.
+func (h *WatchHandle) RolloutsConfirmed() bool { return h.node.rollouts.Confirmed() }
+
 // startRollouts starts what decides about roll-outs.
 func (n *Node) startRollouts(store platform.Store) {
 	n.wg.Go(n.runRollouts)
