--- a/briarrock/command/commands.go
+++ b/briarrock/command/commands.go
@@ -20,6 +20,7 @@
 		{"workspaces", "list the workspaces, or show one", &workspaces{}},
 		{"keys", "add, remove or rotate a key of a workspace", &editKeys{}},
 		{"explain", "show how a request would be routed, and why", &explain{}},
+		{"rollout", "move a service's traffic to another version of its targets", &rolloutCommand{}},
 		{"demo", "run a whole mesh in this process and show the main job", &runDemo{}},
 	}
 }
--- a/briarrockd/node/allowances.go
+++ b/briarrockd/node/allowances.go
@@ -193,4 +193,7 @@
 }
 
 // useSums passes the mesh-wide sums to their users.
-func (n *Node) useSums(p peer.PublishSums) { n.allowances.setSums(p) }
+func (n *Node) useSums(p peer.PublishSums) {
+	n.allowances.setSums(p)
+	n.rolloutSums(p)
+}
--- a/briarrockd/peer/peer.go
+++ b/briarrockd/peer/peer.go
@@ -102,6 +102,9 @@
 	// decides whether this node polls (Watch), receives the results (Committed, Polled)
 	// and does not read the head or the object store itself.
 	DelegatePolling bool
+	// Rollouts is set if the deployment has roll-outs. A new peer is then told of all
+	// orders, also if there are none.
+	Rollouts bool
 	// Strict is set if this node serves requests with keys only while it can prove that
 	// its version was the newest one at most Revoke ago.
 	Strict bool
@@ -137,6 +140,7 @@
 	crashes  crashTable
 	proofs   proofs
 	sums     sums
+	rollouts rollouts
 }
 
 // link is one open link.
@@ -166,7 +170,9 @@
 	introductionUntil time.Time
 	// takesProofs is set if the peer takes Proof frames; proof is their state.
 	takesProofs bool
-	proof       proof.Link
+	// takesRollouts is set if the peer takes Rollout frames.
+	takesRollouts bool
+	proof         proof.Link
 	// unwantedSince is when the link ceased to be one that this node should have; zero
 	// if it should have it.
 	unwantedSince time.Time
@@ -241,6 +247,8 @@
 		c.onCrashed(m)
 	case CountersChanged:
 		c.onCountersChanged(m.Counters)
+	case RolloutsChanged:
+		c.onRolloutsChanged(m)
 	case Leave:
 		c.leave()
 	}
@@ -271,6 +279,7 @@
 	c.tickReport()
 	c.tickCrashes()
 	c.tickSums()
+	c.tickRollouts()
 	if c.membersChanged {
 		c.membersChanged = false
 		c.emit(PublishMembers{c.liveMembers()})
@@ -330,6 +339,8 @@
 		c.onSums(l, f)
 	case Totals:
 		c.onTotals(l, f)
+	case Rollout:
+		c.onRollout(l, f)
 	default:
 		// A second Hello on an open link violates the protocol.
 		c.log(event.PeerGarbage, event.Fields{event.Subject: l.host})
@@ -347,6 +358,7 @@
 		RemoteFloor: c.version.remoteFloor,
 		Members:     c.Members(),
 		Proofs:      c.cfg.Strict,
+		Rollouts:    true,
 	}
 	if l != nil {
 		hello.Lazy = l.lazy
--- a/briarrockd/peer/rules_test.go
+++ b/briarrockd/peer/rules_test.go
@@ -356,6 +356,7 @@
 		CrashReport{Print: 4},
 		FloorNotice{2},
 		VersionAck{3},
+		Rollout{States: []RolloutState{{Service: "s", Order: 3, Target: "v2", Duration: 12000}}},
 	} {
 		b, err := EncodeFrame(f)
 		c.Assert(err, qt.IsNil)
@@ -383,6 +384,7 @@
 		Summary{Domain: "x", At: 5},
 		CrashReport{Print: 1, Service: "s"},
 		Fetch{Version: 5},
+		Rollout{States: []RolloutState{{Service: "s", Order: 3, Target: "v2", Duration: 12000}}, Confirmed: true, Whole: true},
 		Proof{Version: 5, Age: 1, Clock: 2, Echo: 3, Held: 4},
 	} {
 		b, err := EncodeFrame(x)
--- a/briarrockd/peer/simmesh_test.go
+++ b/briarrockd/peer/simmesh_test.go
@@ -29,6 +29,8 @@
 	onStep func(step string, h *simHost)
 	// onWatch is called with each Core's Watch commands.
 	onWatch func(h *simHost, w Watch)
+	// onRollouts is called with each Core's PublishRollouts commands.
+	onRollouts func(h *simHost, p PublishRollouts)
 	// onProof is called with each Core's PublishProof commands, and onProofFrame with
 	// the size of each Proof frame that a host sends.
 	onProof      func(h *simHost, p PublishProof)
@@ -147,6 +149,7 @@
 		onProofFrame: func(*simHost, int) {},
 		onSums:       func(*simHost, PublishSums) {},
 		onFrame:      func(Frame, int) {},
+		onRollouts:   func(*simHost, PublishRollouts) {},
 		store: fakeStore{
 			rows:     make(map[string]platform.Row),
 			objects:  make(map[snapshot.Hash][]byte),
@@ -359,6 +362,8 @@
 		sim.onProof(h, c)
 	case PublishSums:
 		sim.onSums(h, c)
+	case PublishRollouts:
+		sim.onRollouts(h, c)
 	}
 }
 
@@ -465,8 +470,7 @@
 func stepName(fr Frame) string {
 	return [...]string{
 		"", "hello", "beat", "digests", "listing", "wants", "records", "notice", "fetch", "content", "report", "summary", "hold", "known", "have", "fresh",
-		"", "", "", "proof",
-		"", "hello", "beat", "digests", "listing", "wants", "records", "notice", "fetch", "content", "report", "summary", "hold", "known", "have", "fresh", "sums", "totals",
+		"sums", "totals", "rollout", "proof",
 	}[fr.code()]
 }
 
--- a/mesh/event/event.go
+++ b/mesh/event/event.go
@@ -90,6 +90,13 @@
 	SumsLate         = Event{527, "sumslate", logrus.WarnLevel}
 	SumsFresh        = Event{528, "sumsfresh", logrus.InfoLevel}
 	SharesReserved   = Event{529, "sharesreserved", logrus.InfoLevel}
+	RolloutPhase     = Event{530, "rollout", logrus.InfoLevel}
+	RolledBack       = Event{531, "rolledback", logrus.WarnLevel}
+	RolloutCompleted = Event{532, "rolloutdone", logrus.InfoLevel}
+	RolloutOrderBad  = Event{533, "rolloutbad", logrus.WarnLevel}
+	RolloutWritten   = Event{534, "rolloutwritten", logrus.InfoLevel}
+	RolloutUnwritten = Event{535, "rolloutunwritten", logrus.WarnLevel}
+	RolloutUnread    = Event{536, "rolloutunread", logrus.WarnLevel}
 	EditAccepted     = Event{601, "accepted", logrus.InfoLevel}
 	EditConflict     = Event{602, "conflict", logrus.WarnLevel}
 	EditRefused      = Event{603, "invalid", logrus.WarnLevel}
@@ -109,6 +116,7 @@
 		CallAnswered, CallGivenUp, RunRefused, RunEnded, TargetState, AnnounceBad, TargetRate, AnswerBad,
 		Workspaces, KeyRefused,
 		AllowanceUsed, AllowanceLeft, SumsLate, SumsFresh, SharesReserved,
+		RolloutPhase, RolledBack, RolloutCompleted, RolloutOrderBad, RolloutWritten, RolloutUnwritten, RolloutUnread,
 		EditAccepted, EditConflict, EditRefused, EditUnknown, OperatorRefused,
 	}
 }
