target: workspaces are not queued fairly where fair queueing is off

A call of a workspace with few started calls goes before nearly all others, and each workspace may queue two calls, so that at a gate of 18 slots most calls are overtaken until they are late. Change: NoFairQueueing, which the users' platform sets, turns it off for workspaces too.

--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -140,15 +140,14 @@
 }
 
 // arrival returns the message to the gate for a call with a body of the given length. Calls of a
-// workspace are queued fairly between workspaces, also where NoFairQueueing is set: a workspace's
-// name does not depend on the host that the call comes from.
+// workspace are queued fairly between workspaces, unless NoFairQueueing is set.
 func (t *Targets) arrival(c call, bodyBytes int64) Arrival {
 	a := Arrival{Caller: c.caller, Priority: c.priority, Route: c.route, Deadline: c.deadline, Aim: c.aim, CrossRegion: c.crossRegion, BodyBytes: bodyBytes}
 	switch {
-	case c.workspace != "":
-		a.Caller, a.Workspace = c.workspace, true
 	case t.deps.NoFairQueueing:
 		a.Caller = ""
+	case c.workspace != "":
+		a.Caller, a.Workspace = c.workspace, true
 	}
 	return a
 }
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -95,7 +95,8 @@
 	Dial relay.DialFunc
 	// NoFairQueueing turns off fair queueing between callers. It is set where a caller's name
 	// only identifies the host that a call comes from, since fairness between hosts would serve
-	// no purpose. Calls of workspaces are queued fairly in any case.
+	// no purpose. Calls of workspaces are then not queued fairly either: with tens of workspaces
+	// at a gate so many calls overtake others that most of them are late.
 	NoFairQueueing bool
 	// Versions, if set, reports whether the versions of targets are of use to the mesh, because
 	// there are roll-outs. Otherwise they are not sent.
