http1: write nothing for a pipelined request once the connection is closed

Cause: awaitPrevious returned false without setting the exchange's error if it found the previous response complete and the connection's context ended. WriteHeader then wrote no header, but Write, Flush and finish still wrote to the connection's buffer. After a close, requests end without waiting for their predecessors, so a completed predecessor doesn't show that all earlier responses are complete, and several goroutines wrote to the buffer at once. Change: the callers of awaitPrevious that end an exchange set ErrClosed in both cases. awaitPrevious itself doesn't set it, since it is also called for 100 Continue by the goroutine that reads the body.

--- a/briarrockd/http1/callerclosed_test.go
+++ b/briarrockd/http1/callerclosed_test.go
@@ -66,6 +66,31 @@
 	}
 }
 
+// TestWriteAfterClose writes the responses to pipelined requests after their caller has closed
+// the connection.
+//
+// Requests then end out of order. A response that is written although a previous one has not
+// ended shares the connection's buffer with it, which is a data race.
+func TestWriteAfterClose(t *testing.T) {
+	const requests = 16
+	c := qt.New(t)
+	started, errs := make(chan struct{}, requests), make(chan error, requests)
+	_, nc := serve(c, http1.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-r.Context().Done()
+		_, err := io.WriteString(w, "late")
+		errs <- err
+	})})
+	send(c, nc, strings.Repeat("GET / HTTP/1.1\nHost: a\n\n", requests))
+	for range requests {
+		<-started
+	}
+	_ = nc.Close()
+	for range requests {
+		c.Check(<-errs, qt.ErrorIs, http1.ErrClosed)
+	}
+}
+
 // TestClosedBeforeReadUnread is TestClosedBeforeRead for requests behind which the end of
 // the connection is not visible to a read.
 func TestClosedBeforeReadUnread(t *testing.T) {
--- a/briarrockd/http1/exchange.go
+++ b/briarrockd/http1/exchange.go
@@ -52,6 +52,7 @@
 	// wait for a slow one before it would be lost when the connection is closed.
 	if x.req.Method != http.MethodGet && x.req.Method != http.MethodHead || x.c.s.isDraining() {
 		if !x.awaitPrevious() {
+			x.err = ErrClosed
 			return
 		}
 	}
@@ -93,13 +94,13 @@
 }
 
 // awaitPrevious waits until the previous response is complete. It returns false if the
-// connection was closed.
+// connection was closed. Requests then end out of order, so earlier responses may still be
+// being written and nothing may be written for x.
 func (x *exchange) awaitPrevious() bool {
 	select {
 	case <-x.prevDone:
 		return x.c.ctx.Err() == nil
 	case <-x.c.ctx.Done():
-		x.err = ErrClosed
 		return false
 	}
 }
@@ -121,6 +122,7 @@
 	x.wroteHeader = true
 	x.status = status
 	if !x.awaitPrevious() {
+		x.err = ErrClosed
 		return
 	}
 	h := x.Header()
