node, allowance: plain wording, and AllowanceBounds for the bounds of allowances

Cause: the read-through found comments that speak of nodes as persons, and the platform's word quota as the name of a type outside platform/. Change: words and the names of one type and field only; settings keep their names. Measured: go vet, and the tests of node and allowance pass.

--- a/briarrockd/allowance/allowance.go
+++ b/briarrockd/allowance/allowance.go
@@ -99,7 +99,7 @@
 	demandHistory = 4
 	shareHistory  = 5
 	// maxRetryWithin bounds, in seconds, the time named to callers of a workspace that is
-	// within its allowance: its window has room, the node learns of it within that time.
+	// within its allowance: its window has room, and the sums show it within that time.
 	maxRetryWithin = 1
 	// sumsAge is the mean age of the sums in seconds.
 	sumsAge = 0.5
--- a/briarrockd/allowance/pool.go
+++ b/briarrockd/allowance/pool.go
@@ -18,9 +18,9 @@
 	// uniformBase is the part of each allowance that is reserved for nodes by their
 	// number instead of their demand, so that a side without callers can serve some.
 	uniformBase = 0.2
-	// unknownPart is the part of the allowances that nodes use while no node knows what
+	// unknownPart is the part of the allowances that nodes use while it is unknown what
 	// has been used before, after all of them were killed. It is reduced by the part of
-	// the contacts that no node has heard of: these may be on the other side of a
+	// the contacts that are unknown members: these may be on the other side of a
 	// partition. After contactsFor such contacts count as gone.
 	unknownPart = 0.5
 	contactsFor = time.Minute
@@ -31,7 +31,7 @@
 	aloneForget = 10 * time.Minute
 )
 
-// mesh is what a node knows of the mesh.
+// mesh is a node's view of the mesh.
 type mesh struct {
 	members int
 	// contacts is the part of the contacts that are known members.
--- a/briarrockd/allowance/sums.go
+++ b/briarrockd/allowance/sums.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// learn ends the time in which a new process doesn't know the mesh-wide use: soon if
+// learn ends the time in which the mesh-wide use is unknown to a new process: soon if
 // the others do, and else once all uses of earlier processes are out of the window.
 func (l *Limiter) learn(now time.Time, othersKnow bool) {
 	m := &l.mesh
--- a/briarrockd/caller/notice_hosts_test.go
+++ b/briarrockd/caller/notice_hosts_test.go
@@ -131,7 +131,7 @@
 	return &noticeTarget{startMillis: startMillis, leavingSeenAt: make(map[int]time.Time), rateSeenAt: make(map[int]time.Time)}
 }
 
-// start starts the node's process. It learns of its target by an announcement.
+// start starts the node's process. Its target is announced to it.
 func (h *noticeHost) start() {
 	h.mu.Lock()
 	self := h.m.members[h.n]
--- a/briarrockd/node/allowances.go
+++ b/briarrockd/node/allowances.go
@@ -49,14 +49,14 @@
 	last  time.Time
 }
 
-func newAllowances(q Quota, log *event.Log, set *metrics.Set) *allowances {
+func newAllowances(bounds AllowanceBounds, log *event.Log, set *metrics.Set) *allowances {
 	now := time.Now()
 	a := &allowances{
 		log:      log,
 		taken:    set.GetOrCreateCounter("briarrock_allowance_taken_total"),
 		refused:  set.GetOrCreateCounter("briarrock_allowance_refused_total"),
 		given:    set.GetOrCreateCounter("briarrock_allowance_returned_total"),
-		limiter:  allowance.New(allowance.Config(q), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now),
+		limiter:  allowance.New(allowance.Config(bounds), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now),
 		refusals: make(map[string]*refusals),
 		heardAt:  now,
 	}
--- a/briarrockd/node/allowances_test.go
+++ b/briarrockd/node/allowances_test.go
@@ -23,7 +23,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		var out bytes.Buffer
-		a := newAllowances(Quota{}, event.New(&out, true, logrus.InfoLevel, "erie-a-1"), metrics.NewSet())
+		a := newAllowances(AllowanceBounds{}, event.New(&out, true, logrus.InfoLevel, "erie-a-1"), metrics.NewSet())
 		_, ok := a.Take("x")
 		c.Check(ok, qt.IsTrue)
 		c.Check(a.counters(1, 0, 0), qt.HasLen, 0)
--- a/briarrockd/node/node.go
+++ b/briarrockd/node/node.go
@@ -198,7 +198,7 @@
 	n.transport = n.newTransport(d.HTTP1, d.Dial)
 	n.budget = caller.NewBudget()
 	n.prover = newProver(n.platform.Revoke, d.BootTime, n.Version)
-	n.allowances = newAllowances(n.platform.Quota, n.log, n.metrics)
+	n.allowances = newAllowances(n.platform.AllowanceBounds, n.log, n.metrics)
 	n.proxy = caller.New(caller.Deps{
 		Balancer: caller.NewBalancer(n.cfg.Domain, n.cfg.Region, rand.Uint64()),
 		Budget:   n.budget, Claims: n.claims,
--- a/briarrockd/node/platform.go
+++ b/briarrockd/node/platform.go
@@ -51,16 +51,16 @@
 	// ago or earlier, also while the node can't reach the platform.
 	Strict bool
 	Revoke time.Duration
-	// Quota bounds how far the requests of a workspace may exceed its allowance.
-	Quota Quota
+	// AllowanceBounds bounds how far the requests of a workspace may exceed its allowance.
+	AllowanceBounds AllowanceBounds
 	// Rollout bounds what a bad version of a service may get while it is rolled
 	// out.
 	Rollout Rollout
 }
 
-// Quota bounds the requests of a workspace in any Window, over all nodes together,
+// AllowanceBounds bounds the requests of a workspace in any Window, over all nodes together,
 // by (rate × Window + burst) × (1 + Overshoot) + Slack.
-type Quota struct {
+type AllowanceBounds struct {
 	Window    time.Duration
 	Overshoot float64
 	Slack     float64
