peer, platform: logs tell where a late version was held up

Cause: a version that comes late could be placed by no line of one host: it was not logged from whom it came, since when it was known, how often it was asked for, or how long a lost poll had been open. Change: fields of events 201 and 401, and event 206 once a newer version has been known for a second and is not held. Content from the cache and pushes name their source.

--- a/briarrockd/peer/floor.go
+++ b/briarrockd/peer/floor.go
@@ -54,9 +54,9 @@
 	c.serve()
 }
 
-// setVersion puts a version into use. Only setVersion changes the number in use, and
+// setVersion puts a version from source into use. Only setVersion changes the number in use, and
 // the one check against going back to an older version is in acceptVersion.
-func (c *Core) setVersion(number uint64, hash snapshot.Hash, s *snapshot.Snapshot) {
+func (c *Core) setVersion(number uint64, hash snapshot.Hash, s *snapshot.Snapshot, source string) {
 	v := &c.version
 	v.previousHash, v.previousNumber = v.hash, v.number
 	v.number = number
@@ -64,6 +64,7 @@
 	v.staged = s
 	v.stagedAt = c.now
 	v.confirmedInDomain = false
+	c.endLag(source)
 	if v.pending.number <= number {
 		v.pending = pendingFetch{}
 	}
@@ -101,7 +102,10 @@
 		return
 	}
 	c.emit(ServeVersion{v.number, v.hash, v.staged})
-	c.log(event.VersionInUse, event.Fields{event.Subject: v.hash.Short(), "version": v.number})
+	c.log(event.VersionInUse, event.Fields{
+		event.Subject: v.hash.Short(), "version": v.number, "from": v.lag.source, "behind": v.lag.duration.Milliseconds(),
+		"tries": v.lag.tries, "staged": c.now.Sub(v.stagedAt).Milliseconds(), "polled": c.ownPollAge(),
+	})
 	c.useProofs(v.number, v.staged)
 	v.staged = nil
 }
--- a/briarrockd/peer/push.go
+++ b/briarrockd/peer/push.go
@@ -127,7 +127,7 @@
 
 // applyPush puts a pushed version into use. It returns false if this node doesn't
 // hold the base or the delta is invalid; the caller then treats the push as a notice.
-func (c *Core) applyPush(f Content) bool {
+func (c *Core) applyPush(l *link, f Content) bool {
 	base, ok := c.version.content[f.Base]
 	if !ok {
 		return false
@@ -135,11 +135,11 @@
 	if f.HeldRemotely {
 		c.version.remoteFloor = max(c.version.remoteFloor, f.Version)
 	}
-	return c.applyContent("", base, f)
+	return c.applyContent(l.host, base, f)
 }
 
 // applyContent unpacks a version received from a peer and puts it into use if it is
-// valid; from is the sending host, for the log. The received delta is cached and
+// valid; from is the host that sent it. The received delta is cached and
 // forwarded as it is, so that only the first node packs it.
 func (c *Core) applyContent(from string, base []byte, f Content) bool {
 	b, err := snapshot.Unpack(base, f.Packed)
@@ -149,7 +149,7 @@
 	}
 	previous := c.version.lastDelta
 	c.version.lastDelta = delta{f.Base, f.Hash, f.Packed}
-	if c.acceptVersion(f.Version, f.Hash, b) {
+	if c.acceptVersion(f.Version, f.Hash, b, from) {
 		return true
 	}
 	c.version.lastDelta = previous
--- a/briarrockd/peer/version.go
+++ b/briarrockd/peer/version.go
@@ -82,6 +82,72 @@
 	// domainVersions is, by domain, the highest version recorded for any of its
 	// nodes.
 	domainVersions map[string]uint64
+	lag            versionLag
+}
+
+// versionLag is how far the version in use is behind, for the log.
+type versionLag struct {
+	newest uint64    // the newest version that a peer or a poll has named
+	since  time.Time // when the first version above the one in use was named; zero if none
+	logged bool      // that this node is behind
+	// duration is the time from since until the version in use arrived. It came from source,
+	// after tries fetches.
+	duration time.Duration
+	source   string
+	tries    int
+}
+
+// Sources of versions that no peer has sent: this node's own polls, and its cache.
+const (
+	platformSource = "platform"
+	cacheSource    = "cache"
+)
+
+// behindLogDelay is how long a newer version has to be known before the log has that this
+// node is behind.
+const behindLogDelay = time.Second
+
+// nameVersion records that a peer or a poll has named a version.
+func (c *Core) nameVersion(number uint64) {
+	lag := &c.version.lag
+	lag.newest = max(lag.newest, number)
+	if number > c.version.number && lag.since.IsZero() {
+		lag.since = c.now
+	}
+}
+
+// endLag records from where the version in use has come.
+func (c *Core) endLag(source string) {
+	lag := &c.version.lag
+	lag.duration, lag.source, lag.tries = 0, source, c.version.pending.tries
+	if !lag.since.IsZero() {
+		lag.duration = c.now.Sub(lag.since)
+	}
+	lag.since, lag.logged = time.Time{}, false
+	c.nameVersion(lag.newest)
+}
+
+// logLag logs once that this node is behind.
+func (c *Core) logLag() {
+	v := &c.version
+	if v.lag.since.IsZero() || v.lag.logged || c.now.Sub(v.lag.since) < behindLogDelay {
+		return
+	}
+	v.lag.logged = true
+	c.log(event.VersionBehind, event.Fields{
+		"version": v.number, "newest": v.lag.newest, "behind": c.now.Sub(v.lag.since).Milliseconds(),
+		"fetching": v.pending.number, "tries": v.pending.tries, "links": len(c.links),
+		"polled": c.ownPollAge(), "fails": c.watch.failures,
+	})
+}
+
+// ownPollAge returns the age of this node's own newest answered poll in milliseconds, or -1
+// if there is none.
+func (c *Core) ownPollAge() int64 {
+	if c.watch.role.ownPollAt.IsZero() {
+		return -1
+	}
+	return c.now.Sub(c.watch.role.ownPollAt).Milliseconds()
 }
 
 // pendingFetch is the version that is being fetched; its number is 0 if none is.
@@ -168,6 +234,7 @@
 // requestVersion starts to fetch a version, or adds a source to the fetch that is
 // pending for it. A from of 0 adds no source.
 func (c *Core) requestVersion(number uint64, hash snapshot.Hash, from LinkID) {
+	c.nameVersion(number)
 	p := &c.version.pending
 	if number < p.number || number <= c.version.number {
 		return
@@ -180,7 +247,7 @@
 		p.sources = append(p.sources, from)
 	}
 	if b, ok := c.version.content[hash]; ok {
-		c.acceptVersion(number, hash, b)
+		c.acceptVersion(number, hash, b, cacheSource)
 		return
 	}
 	if p.requested {
@@ -229,6 +296,7 @@
 		v.startedAt = c.now
 	}
 	c.retryFetch()
+	c.logLag()
 	for _, l := range c.sortedLinks() {
 		c.notifyLazy(l)
 	}
@@ -294,7 +362,7 @@
 // Content that can't be applied is dropped as a whole: the node keeps the version
 // in use and requests the new one from another source.
 func (c *Core) onContent(l *link, f Content) {
-	if f.Push && f.Version > c.version.number && c.applyPush(f) {
+	if f.Push && f.Version > c.version.number && c.applyPush(l, f) {
 		c.onPush(l, f)
 		return
 	}
@@ -344,11 +412,11 @@
 		c.log(event.VersionNotFound, event.Fields{"version": p.number, "error": m.Err.Error()})
 		return
 	}
-	c.acceptVersion(p.number, m.Hash, m.Content)
+	c.acceptVersion(p.number, m.Hash, m.Content, platformSource)
 }
 
 func (c *Core) onCommitted(m Committed) {
-	if !c.acceptVersion(m.Version, m.Hash, m.Content) {
+	if !c.acceptVersion(m.Version, m.Hash, m.Content, platformSource) {
 		return // the read shows nothing about the version in use
 	}
 	at := m.At
@@ -364,11 +432,12 @@
 }
 
 // acceptVersion verifies the encoded snapshot b of a version and puts it into use
-// if it is newer than the one in use. It reports whether b is valid.
-func (c *Core) acceptVersion(number uint64, hash snapshot.Hash, b []byte) bool {
+// if it is newer than the one in use. source is the peer that sent it, or platformSource.
+// It reports whether b is valid.
+func (c *Core) acceptVersion(number uint64, hash snapshot.Hash, b []byte, source string) bool {
 	s, err := snapshot.Open(b, hash)
 	if err != nil {
-		c.logRefused("", number, err)
+		c.logRefused(source, number, err)
 		return false
 	}
 	if number <= c.version.number {
@@ -376,6 +445,6 @@
 		return true
 	}
 	c.version.keep(hash, b)
-	c.setVersion(number, hash, s)
+	c.setVersion(number, hash, s, source)
 	return true
 }
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -91,6 +91,7 @@
 		return
 	}
 	if p.version > c.version.number {
+		c.nameVersion(p.version)
 		if p.at.After(c.watch.pendingPoll.at) {
 			c.watch.pendingPoll = p
 		}
--- a/mesh/event/event.go
+++ b/mesh/event/event.go
@@ -54,6 +54,7 @@
 	VersionOld       = Event{203, "old", logrus.WarnLevel}
 	VersionNotFound  = Event{204, "notfound", logrus.WarnLevel}
 	WatchAssigned    = Event{205, "watch", logrus.InfoLevel}
+	VersionBehind    = Event{206, "behind", logrus.WarnLevel}
 	Unproven         = Event{210, "unproven", logrus.WarnLevel}
 	Proven           = Event{211, "proven", logrus.InfoLevel}
 	ProofRefused     = Event{212, "proofrefused", logrus.WarnLevel}
@@ -108,7 +109,7 @@
 func All() []Event {
 	return []Event{
 		Started, Stopping, Stopped, KeysLoaded, KeysBad, Library, LogDropped, Reloaded, Panicked,
-		VersionInUse, VersionRefused, VersionOld, VersionNotFound, WatchAssigned,
+		VersionInUse, VersionRefused, VersionOld, VersionNotFound, WatchAssigned, VersionBehind,
 		Unproven, Proven, ProofRefused, Suspended,
 		LinkUp, LinkDown, PeerRefused, PeerGarbage, MemberSuspect, MemberDead, MemberLeft, DomainStale,
 		StoreDown, StoreUp, StoreHistoryLost,
