peer: newer versions don't put off or void the fetch of a version

Callers saw: in a series of changes less than 0.4 s apart a host kept serving the version from before the series, up to 5 s, while its peers served the newest. Cause: a node whose own poll is open waits 0.4 s before it fetches from a peer, and each newer version started that wait anew. Content of a version was dropped if a newer one had been named since it was asked for, so that over a slow link nothing ever arrived. Reads from the object store dropped content in the same way. Fix: the first fetch keeps its time when a newer version takes its place, and an answer counts for each version that this node has asked for and that is above the one in use.

--- a/briarrockd/peer/floor.go
+++ b/briarrockd/peer/floor.go
@@ -3,6 +3,7 @@
 import (
 	"briarrock.example/mesh/event"
 	"briarrock.example/mesh/snapshot"
+	"maps"
 )
 
 // recordPeerVersion records the version that a peer uses, so that this node can send
@@ -65,6 +66,7 @@
 	v.stagedAt = c.now
 	v.confirmedInDomain = false
 	c.endLag(source)
+	maps.DeleteFunc(v.asked, func(_ snapshot.Hash, n uint64) bool { return n <= number })
 	if v.pending.number <= number {
 		v.pending = pendingFetch{}
 	}
--- a/briarrockd/peer/version.go
+++ b/briarrockd/peer/version.go
@@ -67,7 +67,10 @@
 	// this node's domain.
 	peerVersions map[string]uint64
 	pending      pendingFetch
-	lastDelta    delta
+	// asked has, by hash, the versions above the one in use that peers or the object store
+	// were asked for. An answer is used even if a newer version has become known since.
+	asked     map[snapshot.Hash]uint64
+	lastDelta delta
 	// staged is verified but not yet served, because the node is not ready or
 	// because no other node has confirmed the version; see serve. It was staged
 	// at stagedAt.
@@ -152,9 +155,11 @@
 
 // pendingFetch is the version that is being fetched; its number is 0 if none is.
 type pendingFetch struct {
-	number      uint64
-	hash        snapshot.Hash
-	sources     []LinkID // links whose peers hold it, preferred last
+	number  uint64
+	hash    snapshot.Hash
+	sources []LinkID // links whose peers hold it, preferred last
+	// fetchAt is the time of the first fetch, while it is in the future; else zero.
+	fetchAt     time.Time
 	requested   bool
 	requestedAt time.Time
 	tries       int // attempts so far
@@ -175,6 +180,7 @@
 func newVersions() versions {
 	return versions{
 		content:        make(map[snapshot.Hash][]byte),
+		asked:          make(map[snapshot.Hash]uint64),
 		peerVersions:   make(map[string]uint64),
 		domainVersions: make(map[string]uint64),
 	}
@@ -240,7 +246,9 @@
 		return
 	}
 	if number > p.number || hash != p.hash {
-		c.version.pending = pendingFetch{number: number, hash: hash}
+		// The first fetch keeps its time: in a series of changes it would be put off until
+		// the series ends.
+		c.version.pending = pendingFetch{number: number, hash: hash, fetchAt: p.fetchAt}
 		p = &c.version.pending
 	}
 	if from != 0 && len(p.sources) < maxSources {
@@ -250,13 +258,15 @@
 		c.acceptVersion(number, hash, b, cacheSource)
 		return
 	}
-	if p.requested {
-		return
+	if !p.requested && p.fetchAt.IsZero() {
+		c.scheduleFetch()
 	}
+}
+
+// scheduleFetch sends the first fetch for the pending version, or sets its time.
+func (c *Core) scheduleFetch() {
 	if at := c.earliestFetch(); at.After(c.now) {
-		// Record an attempt that times out at that moment: retryFetch then sends
-		// the first fetch.
-		p.requested, p.requestedAt, p.tries = true, at.Add(-hedgeDelay), 1
+		c.version.pending.fetchAt = at
 		return
 	}
 	c.requestFromNext()
@@ -266,9 +276,11 @@
 // source left, it reads the version from the object store, unless polling is delegated.
 func (c *Core) requestFromNext() {
 	p := &c.version.pending
+	p.fetchAt = time.Time{}
 	p.requested = true
 	p.requestedAt = c.now
 	p.tries++
+	c.version.asked[p.hash] = p.number
 	for len(p.sources) > 0 {
 		id := p.sources[len(p.sources)-1]
 		p.sources = p.sources[:len(p.sources)-1]
@@ -310,6 +322,13 @@
 // and must not block the fetch of the true head.
 func (c *Core) retryFetch() {
 	p := &c.version.pending
+	if !p.fetchAt.IsZero() && !c.now.Before(p.fetchAt) {
+		if len(p.sources) == 0 {
+			c.addSources()
+		}
+		c.requestFromNext()
+		return
+	}
 	if !p.requested || c.now.Sub(p.requestedAt) <= hedgeDelay*time.Duration(p.tries) {
 		return
 	}
@@ -369,21 +388,25 @@
 	if f.Push {
 		c.onPush(l, f)
 	}
-	p := &c.version.pending
-	if f.Push || f.Version != p.number || f.Hash != p.hash || f.Version <= c.version.number {
+	if f.Push || f.Version <= c.version.number || c.version.asked[f.Hash] != f.Version {
 		return
 	}
-	if len(f.Packed) == 0 {
+	p := &c.version.pending
+	current := f.Version == p.number && f.Hash == p.hash
+	base := c.version.content[f.Base]
+	missingBase := !f.Base.IsZero() && base == nil
+	switch {
+	case len(f.Packed) > 0 && !missingBase && c.applyContent(l.host, base, f):
+	case !current:
+		return // the newer version is being fetched
+	case len(f.Packed) == 0:
 		c.requestFromNext()
 		return
-	}
-	base := c.version.content[f.Base]
-	if !f.Base.IsZero() && base == nil {
+	case missingBase:
 		p.fullOnly = true
 		c.requestFull(l)
 		return
-	}
-	if !c.applyContent(l.host, base, f) {
+	default:
 		p.fullOnly = true
 		c.requestFromNext()
 		return
@@ -403,16 +426,18 @@
 }
 
 func (c *Core) onObjectRead(m ObjectRead) {
-	p := &c.version.pending
-	if m.Hash != p.hash || p.number <= c.version.number {
+	number := c.version.asked[m.Hash]
+	if number <= c.version.number {
 		return
 	}
-	p.readingStore = false
+	if p := &c.version.pending; p.hash == m.Hash {
+		p.readingStore = false
+	}
 	if m.Err != nil {
-		c.log(event.VersionNotFound, event.Fields{"version": p.number, "error": m.Err.Error()})
+		c.log(event.VersionNotFound, event.Fields{"version": number, "error": m.Err.Error()})
 		return
 	}
-	c.acceptVersion(p.number, m.Hash, m.Content, platformSource)
+	c.acceptVersion(number, m.Hash, m.Content, platformSource)
 }
 
 func (c *Core) onCommitted(m Committed) {
