platform, peer: an outage that swallows a poll doesn't outlast it

Callers saw: new routes were refused with 404, and requests were handled by an old version, up to 7 s after an outage of the store of half a second, on all hosts at once and with all links up. Cause: a poll waited 6 s and was given up 1.5 s later. The store never answers a poll that was sent during an outage or just before it. Peers were to make up for that, but a change ends the polls of all hosts at once, so that they are also sent again together.

--- a/briarrockd/peer/proofs.go
+++ b/briarrockd/peer/proofs.go
@@ -53,13 +53,12 @@
 // is suspended. A strict node needs it before each step.
 func (c *Core) SetBootTime(t time.Duration) { c.proofs.clock = t }
 
-// pollWait returns how long one poll of the platform waits for a change, of which a node
-// that is not strict would wait at most longest.
-func (c *Core) pollWait(longest time.Duration) time.Duration {
+// pollWait returns how long one poll of the platform waits for a change.
+func (c *Core) pollWait() time.Duration {
 	if !c.cfg.Strict {
-		return longest
+		return longPollWait
 	}
-	return min(longest, c.cfg.Revoke/pollsPerRevoke)
+	return min(longPollWait, c.cfg.Revoke/pollsPerRevoke)
 }
 
 // proofOverdue reports whether the newest proof is older than it gets while any node
--- a/briarrockd/peer/watchrole.go
+++ b/briarrockd/peer/watchrole.go
@@ -24,13 +24,11 @@
 	// smallDomainSize is the size of a domain up to which each of its members polls
 	// for itself, if no domain of the region is larger.
 	smallDomainSize = 4
-	// longPollWait is how long one poll waits for a change where all members poll. A
-	// longer wait costs fewer calls, but if the store becomes unreachable and
-	// recovers during a poll, that poll stays unanswered until its wait ends.
-	longPollWait = 6 * time.Second
-	// shortPollWait is the same for the polling nodes of a large region, since other
-	// nodes depend on their poll notices.
-	shortPollWait = 2 * time.Second
+	// longPollWait is how long one poll waits for a change. A longer wait costs fewer
+	// calls, but if the store becomes unreachable and recovers during a poll, that poll
+	// stays unanswered until its wait ends. The polls of all nodes may be open then, since
+	// a change ends them all at once, so no node can rely on its peers for this time.
+	longPollWait = 2 * time.Second
 	// pollNoticeInterval is how often a polling node repeats its poll notice while its
 	// poll waits for a change. Other nodes detect within pollNoticeTimeout that it is
 	// gone.
@@ -41,7 +39,7 @@
 	// maxNoticedPollAge is the age of its last answered poll up to which a polling node
 	// repeats its notice. A poll that takes longer is most likely on a dead
 	// connection.
-	maxNoticedPollAge = shortPollWait + time.Second
+	maxNoticedPollAge = longPollWait + time.Second
 	// pollNoticeTimeout is the age of the newest poll notice above which a node polls
 	// itself. It covers one pollNoticeInterval and the transit through the tree.
 	// Up to pollNoticeTimeoutSpread is added, in proportion to the node's position in
@@ -167,16 +165,16 @@
 	case !c.version.ready:
 		w.On = c.pollsAtStart()
 	case c.allMembersPoll():
-		w.Wait = c.pollWait(longPollWait)
+		w.Wait = c.pollWait()
 	case c.pollsForRegion():
-		w.Wait = c.pollWait(shortPollWait)
+		w.Wait = c.pollWait()
 	default:
 		w.Fallback = true
 		w.On = c.pollNoticesLapsed()
 		if c.now.Sub(c.watch.role.ownPollAt) <= maxNoticedPollAge {
 			// Only later polls wait for a change. The first one is answered at once,
 			// so that its notice soon keeps other nodes from polling.
-			w.Wait = c.pollWait(shortPollWait)
+			w.Wait = c.pollWait()
 		}
 	}
 	return w
--- a/briarrockd/peer/watchrole_test.go
+++ b/briarrockd/peer/watchrole_test.go
@@ -97,7 +97,7 @@
 	core.Step(now, Polled{Cursor: 41, At: now})
 	now, cmds = runTicks(core, now, TickInterval)
 	w, _ = lastWatch(cmds)
-	c.Check(w, qt.Equals, Watch{On: true, Cursor: 41, Wait: shortPollWait, Fallback: true})
+	c.Check(w, qt.Equals, Watch{On: true, Cursor: 41, Wait: longPollWait, Fallback: true})
 
 	_, cmds = runWithNotices(core, now, minFallbackPolling+2*time.Second, pollNotice(1, 41))
 	w, ok = lastWatch(cmds)
