peer, platform: a fallback node polls soon, however many members it knows

Callers saw: after an outage of the store a host that reached the store but no peer served old routes for seconds longer than the bound, the longer the more hosts the mesh has. Cause: a fallback node left the next poll to the others for a random time of up to 100 ms for each member in its table, 30 s at 300 hosts, also when it received nothing from them; and after failures the watcher paused up to 3.75 s besides, during which the Core could not direct a poll. Fix: a node that receives no notice of another one's attempt for 1.0 to 1.6 s polls. In a connected mesh attempts are 100 ms apart at any size, so the bound is hardly ever reached there. The pause counts from the start of an attempt and not from its failure.

--- a/briarrockd/peer/watchrole.go
+++ b/briarrockd/peer/watchrole.go
@@ -56,6 +56,12 @@
 	// multiplied by the number of hosts; if the platform rejects most hosts only,
 	// those that it still serves must be found.
 	fallbackPollInterval = 100 * time.Millisecond
+	// maxFallbackPause is how long a fallback node leaves the polls to others while no
+	// notice of their attempts arrives. These are mostly fallbackPollInterval apart, so a
+	// node that receives none for so long is cut off from those that poll. Up to
+	// maxFallbackPauseSpread is added at random.
+	maxFallbackPause       = 1000 * time.Millisecond
+	maxFallbackPauseSpread = 600 * time.Millisecond
 	// startReadDelay is how long a starting node waits for its peers to send it the
 	// version in use before it reads the full snapshot from the platform. A node of a
 	// domain where all members poll doesn't wait.
@@ -97,8 +103,8 @@
 	// noticeSentAt.
 	lastSerial   uint64
 	noticeSentAt time.Time
-	// attemptAt is when a fallback node last began to poll, or this node's own poll
-	// last failed. This node may begin attemptPause after that.
+	// attemptAt is when a fallback node, this one included, last began to poll, or when
+	// this node's own poll failed later. This node may begin attemptPause after that.
 	attemptAt    time.Time
 	attemptPause time.Duration
 	// rtt is the estimated round-trip time to the platform; 0 if unknown.
@@ -153,6 +159,7 @@
 		return
 	}
 	if w.On && w.Fallback && (!r.current.On || !r.current.Fallback) {
+		c.delayFallbackPoll()
 		c.broadcastPollStart()
 	}
 	r.current, r.emitted = w, true
@@ -218,7 +225,8 @@
 }
 
 // onPollFailed handles an unanswered poll of this node's own. A fallback node stops
-// polling and leaves the next attempt to the others.
+// polling and leaves the next attempt to the others. Its pause counts from the start of
+// its attempt, unless the poll that failed is a later one.
 func (c *Core) onPollFailed() {
 	c.watch.failures++
 	r := &c.watch.role
@@ -226,15 +234,22 @@
 		return
 	}
 	r.pollUntil = time.Time{}
-	c.delayFallbackPoll()
+	if c.now.Sub(r.attemptAt) > maxFallbackPause+maxFallbackPauseSpread {
+		c.delayFallbackPoll()
+	}
 	c.updatePollRole()
 }
 
 // delayFallbackPoll sets a random pause after a poll by any fallback node, this one
-// included. Its mean grows with the number of members.
+// included. Its mean grows with the number of members, up to a bound that matters only
+// where this node doesn't receive the notices of the others.
 func (c *Core) delayFallbackPoll() {
 	r := &c.watch.role
-	r.attemptAt, r.attemptPause = c.now, c.jitter(fallbackPollInterval*time.Duration(c.Members()))
+	pause := c.jitter(fallbackPollInterval * time.Duration(c.Members()))
+	if pause > maxFallbackPause {
+		pause = maxFallbackPause + pause%maxFallbackPauseSpread
+	}
+	r.attemptAt, r.attemptPause = c.now, pause
 }
 
 // onPolled handles this node's own poll of the platform that found nothing newer than
