--- a/briarrockd/peer/floor.go
+++ b/briarrockd/peer/floor.go
@@ -1,9 +1,10 @@
 package peer
 
 import (
+	"maps"
+
 	"briarrock.example/mesh/event"
 	"briarrock.example/mesh/snapshot"
-	"maps"
 )
 
 // recordPeerVersion records the version that a peer uses, so that this node can send
@@ -55,8 +56,8 @@
 	c.serve()
 }
 
-// setVersion puts a version from source into use. Only setVersion changes the number in use, and
-// the one check against going back to an older version is in acceptVersion.
+// setVersion puts a version from source into use. Only setVersion changes the number in
+// use, and the one check against going back to an older version is in acceptVersion.
 func (c *Core) setVersion(number uint64, hash snapshot.Hash, s *snapshot.Snapshot, source string) {
 	v := &c.version
 	v.previousHash, v.previousNumber = v.hash, v.number
--- a/briarrockd/peer/watchrole.go
+++ b/briarrockd/peer/watchrole.go
@@ -11,9 +11,9 @@
 //
 // In a small region each node polls for itself. In a large region, one with a domain of
 // more than smallDomainSize members, only its first gateway node polls, or two in strict
-// mode: the gateway nodes hold the links to other regions. Of several regions only those near the platform poll.
-// So the number of calls to the platform doesn't grow with the number of hosts, and a
-// change crosses between two regions once, as a delta.
+// mode: the gateway nodes hold the links to other regions. Of several regions only those
+// near the platform poll. So the number of calls to the platform doesn't grow with the
+// number of hosts, and a change crosses between two regions once, as a delta.
 //
 // The other nodes receive versions from their peers, and a poll notice (PollNotice) of
 // each answered poll. An open poll proves nothing: it may be on a dead connection. Once
