--- a/briarrockd/peer/watchrole.go
+++ b/briarrockd/peer/watchrole.go
@@ -30,8 +30,8 @@
 	// nodes may be open then, since a change ends them all at once, so no node can rely on
 	// its peers for this time.
 	longPollWait = 2 * time.Second
-	// shortPollWait is the same for a node that polls for others. They know only by its
-	// answered polls that it still reaches the platform, so it has to be well below
+	// shortPollWait is the same for a node that polls for others. Only its answered polls
+	// show the others that it still reaches the platform, so the wait has to be well below
 	// pollNoticeTimeout.
 	shortPollWait = time.Second
 	// pollNoticeStartDelay is how long after its start a node doesn't broadcast its
