--- a/review/internal/lab/node.go
+++ b/review/internal/lab/node.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -218,3 +219,21 @@
 	_ = res.Body.Close()
 	return res.StatusCode == http.StatusOK
 }
+
+// Metric returns the lines of the node's metrics that begin with a name.
+func (m *Machine) Metric(name string) string {
+	c := http.Client{Timeout: time.Second}
+	res, err := c.Get("http://" + net.JoinHostPort(m.IP, strconv.Itoa(portOperator)) + "/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, _ := io.ReadAll(res.Body)
+	var found []string
+	for line := range strings.Lines(string(b)) {
+		if strings.HasPrefix(line, name) {
+			found = append(found, strings.TrimSpace(line))
+		}
+	}
+	return strings.Join(found, ", ")
+}
--- a/review/internal/lab/upstream.go
+++ b/review/internal/lab/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -35,6 +36,11 @@
 	After func(req *http.Request, write func([]byte))
 	// BodySize is the size of a response body.
 	BodySize int
+	// EarlyHeader makes the upstream send the header of a response, in chunked encoding,
+	// when it begins to work, and the body at the end.
+	EarlyHeader bool
+	// Listen, if set, is the address to listen at, behind a proxy at Addr.
+	Listen string
 
 	l        net.Listener
 	slots    chan struct{}
@@ -54,7 +60,7 @@
 func (u *Upstream) Start(control string) error {
 	var err error
 	for range 50 {
-		if u.l, err = net.Listen("tcp", u.Addr); err == nil {
+		if u.l, err = net.Listen("tcp", cmp.Or(u.Listen, u.Addr)); err == nil {
 			break
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -160,7 +166,7 @@
 		if err != nil {
 			return
 		}
-		write(u.handle(req, body))
+		write(u.handle(req, body, write))
 		if u.After != nil && req.URL.Path != "/healthz" {
 			u.After(req, write)
 		}
@@ -179,7 +185,8 @@
 	return b.Bytes()
 }
 
-func (u *Upstream) handle(req *http.Request, body []byte) []byte {
+// handle returns the rest of the response to a request.
+func (u *Upstream) handle(req *http.Request, body []byte, write func([]byte)) []byte {
 	if req.URL.Path == "/healthz" {
 		return Response(http.StatusOK, nil, "Briarrock-Instance-Id", u.ID)
 	}
@@ -198,9 +205,25 @@
 		ID: id, Method: req.Method, Path: req.URL.RequestURI(), Body: body, Instance: u.ID, Service: u.Service,
 		Caller: req.Header.Get("Briarrock-Caller-Service"),
 	})
+	headers := []string{"Briarrock-Attempt-Id", id, "Briarrock-Response-Signature", "sig-" + u.ID + "-" + id}
+	if u.EarlyHeader {
+		write(earlyHeader(headers))
+	}
 	time.Sleep(u.Work(req))
 	answer := append([]byte("answer to "+id+" by "+u.ID+"\n"), bytes.Repeat([]byte("x"), u.BodySize)...)
-	return Response(http.StatusOK, answer, "Briarrock-Attempt-Id", id, "Briarrock-Response-Signature", "sig-"+u.ID+"-"+id)
+	if u.EarlyHeader {
+		return append(fmt.Appendf(nil, "%x\r\n%s\r\n", len(answer), answer), "0\r\n\r\n"...)
+	}
+	return Response(http.StatusOK, answer, headers...)
+}
+
+// earlyHeader returns the header of a response whose body follows in chunks.
+func earlyHeader(headers []string) []byte {
+	b := []byte("HTTP/1.1 200 OK\r\n")
+	for i := 0; i+1 < len(headers); i += 2 {
+		b = fmt.Appendf(b, "%s: %s\r\n", headers[i], headers[i+1])
+	}
+	return append(b, "Keep-Alive: timeout=10\r\nTransfer-Encoding: chunked\r\n\r\n"...)
 }
 
 // acquire takes a slot, after a wait in the queue if there is room.
