--- a/review/cmd/review/extra.go
+++ b/review/cmd/review/extra.go
@@ -18,7 +18,7 @@
 	extraShare    = 0.03
 	extraFor      = 5 * time.Second
 	extraDelay    = 40 * time.Millisecond
-	orderClients  = 40
+	orderClients  = 28
 	afterTroubles = 2 * time.Second
 )
 
--- a/review/cmd/review/silent.go
+++ b/review/cmd/review/silent.go
@@ -14,6 +14,12 @@
 
 func init() { cases["silent"] = testCase{run: runSilent} }
 
+// Bounds of the small deployments.
+const (
+	configApply = 2500 * time.Millisecond
+	contact     = 3 * time.Second
+)
+
 // changedConfig is the next version: the route to shelfview has another prefix.
 func changedConfig(version, prefix string) string {
 	return strings.Replace(strings.Replace(config, "00000007", version, 1), shelfPath, prefix, 1)
