--- a/review/cmd/review/silent.go
+++ b/review/cmd/review/silent.go
@@ -69,6 +69,7 @@
 				defer c.Close()
 				for !stop.Load() {
 					a := c.Send(http.MethodGet, shelfHost, path, nil, shelfDeadline)
+					a.Log(e.Record, m, path)
 					mu.Lock()
 					answers = append(answers, sent{a, m, path})
 					mu.Unlock()
