--- a/review/cmd/review/extra.go
+++ b/review/cmd/review/extra.go
@@ -15,7 +15,7 @@
 
 // Doses of the faulty upstreams: half of the service's, three in a hundred answers, 5 s.
 const (
-	extraShare    = 0.03
+	extraEvery    = 34 // every 34th answer of an upstream, less than 3 in 100
 	extraFor      = 5 * time.Second
 	extraDelay    = 40 * time.Millisecond
 	orderClients  = 28
@@ -31,8 +31,9 @@
 		if i >= 2 {
 			return
 		}
+		var answered atomic.Int64
 		u.After = func(req *http.Request, write func([]byte)) {
-			if !faulty.Load() || rand.Float64() >= extraShare {
+			if !faulty.Load() || answered.Add(1)%extraEvery != 0 {
 				return
 			}
 			e.Record.Printf("extra    bytes %v after the answer to id=%s by=%s", extraDelay, req.Header.Get("Briarrock-Attempt-Id"), u.ID)
