--- a/review/second/cmd/frozen/main.go
+++ b/review/second/cmd/frozen/main.go
@@ -1,4 +1,4 @@
-// Command frozen is case 5: the machine beside one of two upstreams freezes. Uploads that
+// Command frozen is case 6: the machine beside one of two upstreams freezes. Uploads that
 // other machines, which are in touch, pass on to it must be answered by the timeout of
 // their route.
 package main
