peer, target: one crash of a target counts once, and a completed request is never held back

Callers saw: a target crashed once while it ran several requests for the same page, and from then on all nodes refused that page with 503 (held) for ten minutes, with the target back and the others serving. Cause: crashes had no identity. Each request in flight reported the crash under a random ID of its own, and reports with the same fingerprint were added up, so that two requests in flight at one crash made the threshold of two crashes. Requests that completed elsewhere cleared nothing once the threshold was reached. Fix: a target's process has an ID for its crash, which all reports of it carry. A node keeps the set of a request's crashes and which of them it has been cleared of; both only grow, so reports may come in any order and are passed on once for each change. A completion clears the request of all known crashes at any time, since a request that crashes each target that runs it never completes. A refusal by a target that sheds load, or its failure, clears nothing any more. TestCrashReportClear names an ID for each crash, which it had drawn from the Core before.

--- a/briarrock/local/call_test.go
+++ b/briarrock/local/call_test.go
@@ -448,6 +448,29 @@
 	c.Check(s.Held, qt.HasLen, 1)
 }
 
+// TestCrashInFlight guards against a request that is held back after one crash because
+// several requests with its fingerprint were in flight at the target.
+func TestCrashInFlight(t *testing.T) {
+	c := qt.New(t)
+	m := startMesh(c, standintarget.Config{})
+	crashed := m.Nodes[0]
+	var callers sync.WaitGroup
+	for i := range 3 * len(m.Nodes) {
+		callers.Go(func() {
+			sendCall(m, i%len(m.Nodes), "GET", "/orders", "", standintarget.HeaderWork, "300ms")
+		})
+	}
+	c.Assert(local.WaitUntil(testTimeout, func() bool { return crashed.Target.Running() == 2 }), qt.IsNil)
+	crashed.StopTarget()
+	callers.Wait()
+	c.Assert(m.StartTarget(crashed), qt.IsNil)
+	waitTargets(c, m, len(m.Nodes))
+	for i := range m.Nodes {
+		a := sendCall(m, i, "GET", "/orders", "")
+		c.Check(a.status, qt.Equals, http.StatusOK, qt.Commentf("node %d: %s", i, a))
+	}
+}
+
 // TestSilent discards all data on the open connections between nodes without
 // closing them, while new connections work.
 //
--- a/briarrockd/peer/crashes.go
+++ b/briarrockd/peer/crashes.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -17,20 +18,46 @@
 	// maxCrashRecords is the maximum number of suspected requests. While the table is
 	// full no further requests are suspected.
 	maxCrashRecords = 4096
-	// clearedTTL is how long a request that has completed is kept together with the
-	// reports about it, and maxCrashReports how many reports are kept per request.
-	clearedTTL      = 30 * time.Second
-	maxCrashReports = 64
+	// clearedTTL is how long a request is remembered that has been cleared of all crashes.
+	clearedTTL = 30 * time.Second
+	// maxCrashes is the maximum number of crashes that are kept per request.
+	maxCrashes = 64
 )
 
-// crashRecord is the state of one request that was in flight during a crash.
+// crashRecord holds the crashes during which one request was in flight.
 type crashRecord struct {
-	service   string
-	reportIDs map[uint64]bool // IDs of the reports, so that a relayed report counts once
-	crashes   int             // 0 once the request has completed
+	service string
+	// cleared has an entry for each crash, by its ID: true once the request has completed
+	// in spite of that crash. An entry is never removed and changes only to true, so that
+	// reports may arrive in any order and by several paths.
+	cleared   map[uint64]bool
 	updatedAt time.Time
 }
 
+// suspicions returns the IDs of the crashes that the request is suspected of, in ascending
+// order.
+func (r *crashRecord) suspicions() []uint64 {
+	var ids []uint64
+	for id, cleared := range r.cleared {
+		if !cleared {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// add adds what a report says. It returns false if that is already known, or if the record
+// is full.
+func (r *crashRecord) add(f CrashReport) bool {
+	cleared, known := r.cleared[f.ID]
+	if known && (cleared || !f.Clear) || !known && len(r.cleared) >= maxCrashes {
+		return false
+	}
+	r.cleared[f.ID] = f.Clear
+	return true
+}
+
 // crashTable holds the requests that are suspected of crashing targets, by fingerprint.
 type crashTable struct {
 	records map[uint64]*crashRecord
@@ -39,48 +66,52 @@
 func newCrashTable() crashTable { return crashTable{records: make(map[uint64]*crashRecord)} }
 
 // onCrashed processes a crash, or the completion of a suspected request, at one of this
-// node's targets.
+// node's targets. A request that has completed is cleared of all crashes known so far.
 func (c *Core) onCrashed(m Crashed) {
-	f := CrashReport{Print: m.Print, Service: m.Service, Crashes: 1, Clear: m.Clear, ID: c.rng.Uint64()}
-	if r := c.crashes.records[m.Print]; m.Clear && (r == nil || r.crashes == 0) {
+	f := CrashReport{Print: m.Print, Service: m.Service, Crashes: 1, ID: m.ID, Clear: m.Clear}
+	if !m.Clear {
+		c.applyCrashReport(0, f)
+		return
+	}
+	r := c.crashes.records[m.Print]
+	if r == nil {
 		return
 	}
-	c.applyCrashReport(0, f)
+	for _, f.ID = range r.suspicions() {
+		c.applyCrashReport(0, f)
+	}
 }
 
 func (c *Core) onCrashReport(l *link, f CrashReport) { c.applyCrashReport(l.id, f) }
 
-// applyCrashReport counts a report once and floods it over all links, the lazy ones
-// included: a request that crashes targets must not reach another region because a lazy
-// link did not carry the report.
+// applyCrashReport adds a report to the record of its request and, if it was new, floods it
+// over all links, the lazy ones included: a request that crashes targets must not reach
+// another region because a lazy link did not carry the report.
 //
-// The record of a request is kept for a while after the request has been cleared. The
-// report of a crash and the report that clears it spread through the mesh shortly after
-// one another. A node that deleted the record on receiving the second would take the
-// first for a new report when it arrives by another path, and the two reports would
-// circulate forever.
+// All requests in flight at a crash report it under the same ID, so a request of which
+// several were in flight is not taken for the cause of several crashes. The report that
+// clears a crash may overtake that of the crash itself, and is kept for it.
 func (c *Core) applyCrashReport(from LinkID, f CrashReport) {
 	r := c.crashes.records[f.Print]
 	if r == nil {
-		if f.Clear || len(c.crashes.records) >= maxCrashRecords {
+		if len(c.crashes.records) >= maxCrashRecords {
 			return
 		}
-		r = &crashRecord{service: f.Service, reportIDs: make(map[uint64]bool)}
+		r = &crashRecord{service: f.Service, cleared: make(map[uint64]bool)}
 		c.crashes.records[f.Print] = r
 	}
-	if r.reportIDs[f.ID] || len(r.reportIDs) >= maxCrashReports || (f.Clear && r.crashes >= HoldThreshold) {
+	before := len(r.suspicions())
+	if !r.add(f) {
 		return
 	}
-	r.reportIDs[f.ID] = true
 	r.updatedAt = c.now
-	if f.Clear {
-		r.crashes = 0
-	} else {
-		r.crashes++
-	}
-	c.emit(HeldRequest{f.Print, r.service, r.crashes})
-	if r.crashes == HoldThreshold && !f.Clear {
-		c.log(event.RequestHeld, event.Fields{event.Subject: f.Service, "print": f.Print})
+	crashes := len(r.suspicions())
+	c.emit(HeldRequest{f.Print, r.service, crashes})
+	switch {
+	case before < HoldThreshold && crashes >= HoldThreshold:
+		c.log(event.RequestHeld, event.Fields{event.Subject: r.service, "print": f.Print, "crashes": r.suspicions()})
+	case before >= HoldThreshold && crashes < HoldThreshold:
+		c.log(event.RequestReleased, event.Fields{event.Subject: r.service, "print": f.Print})
 	}
 	c.relayCrashReport(from, f)
 }
@@ -96,7 +127,7 @@
 func (c *Core) tickCrashes() {
 	for fingerprint, r := range c.crashes.records {
 		ttl := crashTTL
-		if r.crashes == 0 {
+		if len(r.suspicions()) == 0 {
 			ttl = clearedTTL
 		}
 		if c.now.Sub(r.updatedAt) > ttl {
@@ -110,8 +141,8 @@
 func (t *crashTable) heldRequests() []HeldRequest {
 	var out []HeldRequest
 	for fingerprint, r := range t.records {
-		if r.crashes >= HoldThreshold {
-			out = append(out, HeldRequest{fingerprint, r.service, r.crashes})
+		if crashes := len(r.suspicions()); crashes >= HoldThreshold {
+			out = append(out, HeldRequest{fingerprint, r.service, crashes})
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Print < out[j].Print })
--- a/briarrockd/peer/frame.go
+++ b/briarrockd/peer/frame.go
@@ -181,14 +181,15 @@
 }
 
 // CrashReport is flooded to all nodes after a target crashed with a request in flight.
-// A request with HoldThreshold reports is held back on all nodes.
+// A request that was in flight at HoldThreshold crashes is held back on all nodes.
 type CrashReport struct {
 	Print   uint64 `cbor:"1,keyasint"` // fingerprint of the request
 	Service string `cbor:"2,keyasint"`
-	Crashes int    `cbor:"3,keyasint"` // always 1; receivers count the reports
-	// Clear withdraws the suspicion: the request has completed.
+	Crashes int    `cbor:"3,keyasint"` // always 1; receivers count the IDs
+	// Clear clears the request of the crash with this ID: it has completed elsewhere.
 	Clear bool `cbor:"4,keyasint,omitempty"`
-	// ID distinguishes two reports of the same print.
+	// ID identifies the crash. All reports of one crash have the same ID, also those of
+	// other requests.
 	ID uint64 `cbor:"5,keyasint"`
 }
 
--- a/briarrockd/peer/message.go
+++ b/briarrockd/peer/message.go
@@ -105,6 +105,7 @@
 type Crashed struct {
 	Print   uint64 // fingerprint of the request
 	Service string
+	ID      uint64 // identifies the crash; not used with Clear
 	Clear   bool
 }
 
--- a/briarrockd/peer/rules_test.go
+++ b/briarrockd/peer/rules_test.go
@@ -446,7 +446,7 @@
 		r := newRing(5)
 		rng := rand.New(rand.NewPCG(seed, 1))
 		for range 3 {
-			r.deliver(rng.IntN(5), Crashed{Print: 7, Service: "posting"})
+			r.deliver(rng.IntN(5), Crashed{Print: 7, Service: "posting", ID: rng.Uint64()})
 			r.deliverFrames(rng, rng.IntN(8))
 			r.deliver(rng.IntN(5), Crashed{Print: 7, Service: "posting", Clear: true})
 			r.deliverFrames(rng, rng.IntN(8))
@@ -455,7 +455,7 @@
 
 		// A request that crashes targets again must still be held back.
 		for _, i := range []int{1, 3} {
-			r.deliver(i, Crashed{Print: 7, Service: "posting"})
+			r.deliver(i, Crashed{Print: 7, Service: "posting", ID: rng.Uint64()})
 		}
 		r.deliverFrames(rng, 1000)
 		for _, core := range r.cores {
--- a/briarrockd/target/announce.go
+++ b/briarrockd/target/announce.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -259,6 +260,7 @@
 		service: a.Service,
 		addr:    a.Addr,
 		process: cmp.Or(a.ID, a.Addr) + "/" + strconv.FormatInt(a.StartMillis, 10),
+		crashID: rand.Uint64(),
 		url:     &url.URL{Scheme: "http", Host: a.Addr},
 		pool: http1.NewPool(http1.PoolConfig{
 			Dial: relay.Dialer(dialTimeout, t.deps.Dial), IdleTimeout: idleTimeout,
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -312,7 +312,8 @@
 	if out.Kind != kind.None {
 		panic(http.ErrAbortHandler)
 	}
-	if c.fingerprint != 0 && t.deps.CrashCount(c.fingerprint) > 0 {
+	// A target that refuses a request or fails shows nothing about what the request does.
+	if c.fingerprint != 0 && !completed.Shed && !completed.Failed && t.deps.CrashCount(c.fingerprint) > 0 {
 		t.deps.OnCrash(peer.Crashed{Print: c.fingerprint, Service: c.service, Clear: true})
 	}
 }
@@ -428,7 +429,8 @@
 
 // detectCrash checks after a broken connection whether the target still listens. If it does not,
 // it has crashed, and the request in flight may be the cause. Each request in flight reports
-// itself, so no list of them is kept. A suspected request that later runs to its end is cleared.
+// itself, so no list of them is kept; the crash's ID tells that the reports are about one crash. A
+// suspected request that later runs to its end is cleared.
 func (t *Targets) detectCrash(x *target, c call) {
 	conn, err := net.DialTimeout("tcp", x.addr, dialTimeout)
 	if err == nil {
@@ -439,6 +441,6 @@
 	if c.fingerprint == 0 {
 		return
 	}
-	t.deps.Log.Emit(event.TargetCrashed, event.Fields{event.Subject: x.addr, "service": c.service, "print": c.fingerprint})
-	t.deps.OnCrash(peer.Crashed{Print: c.fingerprint, Service: c.service})
+	t.deps.Log.Emit(event.TargetCrashed, event.Fields{event.Subject: x.addr, "service": c.service, "print": c.fingerprint, "crash": x.crashID})
+	t.deps.OnCrash(peer.Crashed{Print: c.fingerprint, Service: c.service, ID: x.crashID})
 }
--- a/briarrockd/target/target.go
+++ b/briarrockd/target/target.go
@@ -135,14 +135,16 @@
 	waited   *metrics.Histogram
 }
 
-// target is one target with its gate and its connections. service, addr, process, url, pool and
-// transport never change. The fields from announcement to earlierStarts are guarded by the mutex of
+// target is one target with its gate and its connections. service, addr, process, crashID, url,
+// pool and transport never change. The fields from announcement to earlierStarts are guarded by the mutex of
 // Targets, the gate and its state by mu.
 type target struct {
 	service string
 	addr    string
 	// process identifies the target's process: its ID or address, and its start time.
-	process      string
+	process string
+	// crashID identifies the crash of the process, should it crash.
+	crashID      uint64
 	url          *url.URL
 	announcement Announcement
 	announcedAt  time.Time
--- a/mesh/event/event.go
+++ b/mesh/event/event.go
@@ -84,6 +84,7 @@
 	AnnounceBad      = Event{512, "announcebad", logrus.WarnLevel}
 	TargetRate       = Event{513, "targetrate", logrus.InfoLevel}
 	AnswerBad        = Event{514, "answerbad", logrus.WarnLevel}
+	RequestReleased  = Event{515, "released", logrus.WarnLevel}
 	Workspaces       = Event{520, "workspaces", logrus.InfoLevel}
 	KeyRefused       = Event{521, "keyrefused", logrus.InfoLevel}
 	AllowanceUsed    = Event{525, "allowanceused", logrus.InfoLevel}
@@ -114,7 +115,7 @@
 		LinkUp, LinkDown, PeerRefused, PeerGarbage, MemberSuspect, MemberDead, MemberLeft, DomainStale,
 		StoreDown, StoreUp, StoreHistoryLost,
 		CallFailed, TargetUp, TargetGone, TargetCrashed, RequestHeld, ClaimLost,
-		CallAnswered, CallGivenUp, RunRefused, RunEnded, TargetState, AnnounceBad, TargetRate, AnswerBad,
+		CallAnswered, CallGivenUp, RunRefused, RunEnded, TargetState, AnnounceBad, TargetRate, AnswerBad, RequestReleased,
 		Workspaces, KeyRefused,
 		AllowanceUsed, AllowanceLeft, SumsLate, SumsFresh, SharesReserved,
 		RolloutPhase, RolledBack, RolloutCompleted, RolloutOrderBad, RolloutWritten, RolloutUnwritten, RolloutUnread,
