relay: a streamed request keeps to its deadline before and while its body is sent

Callers saw: uploads of 100 KB that were passed on to a frozen node got no answer until the callers gave up, two seconds after the route's deadline. Cause: the timer of the deadline was stopped for a streamed body, and started with the full time once that had been read. A body that is withheld until 100 Continue is never read if that does not come, and a next hop that receives nothing keeps it from being read to its end. Only the stall timer of 10 s ran. Fix: the timer runs from the start and pauses only during reads of the sender's body, on both hops. A request can also no longer take twice its deadline.

--- a/briarrockd/relay/relay.go
+++ b/briarrockd/relay/relay.go
@@ -81,9 +81,10 @@
 	// sent 100 Continue and received the body. Such a request counts as not sent
 	// until the transport begins to read Body.
 	ForwardAfterBody bool
-	// Streamed is set for a body that may take any time to send as long as it does
-	// not stall. The time that remained until Deadline when Send was called then
-	// counts from the end of the body.
+	// Streamed is set for a body that its sender may take any time to send, as long as it
+	// does not stall. Deadline is then extended by the time that reads of Body take. All
+	// other waits count: for a connection, for 100 Continue, and for the next hop to
+	// receive the body.
 	Streamed bool
 }
 
@@ -136,22 +137,20 @@
 		cancel(nil)
 		return nil, Outcome{Kind: kind.Request, Err: err}
 	}
-	timeout := time.Until(c.Deadline)
-	timer := time.AfterFunc(timeout, func() { cancel(ErrDeadline) })
+	timer := newDeadlineTimer(time.Until(c.Deadline), func() { cancel(ErrDeadline) })
 	var body *stallGuard
 	if c.Body != nil {
 		body = newStallGuard(req.Body, c.StallTimeout, func() { cancel(ErrStall) })
 		req.Body = body
 	}
 	if c.Streamed && body != nil {
-		timer.Stop()
-		body.onEnd = func() { timer.Reset(timeout) }
+		body.deadline = timer
 	}
 	res, err := c.Transport.RoundTrip(req)
 	if body != nil {
 		body.stop()
 	}
-	timer.Stop()
+	timer.stop()
 	if err != nil {
 		out := tracker.outcome(ctx, err, tracker.sent() && !c.isForwardPending(body))
 		cancel(nil)
@@ -411,10 +410,10 @@
 	io.ReadCloser
 	timer   *time.Timer
 	timeout time.Duration
-	// onEnd is called when a read returns io.EOF or another error.
-	onEnd   func()
-	started atomic.Bool // a read has begun
-	done    atomic.Bool // the body has ended, or stop was called
+	// deadline, if set, is paused during reads.
+	deadline *deadlineTimer
+	started  atomic.Bool // a read has begun
+	done     atomic.Bool // the body has ended, or stop was called
 }
 
 func newStallGuard(b io.ReadCloser, timeout time.Duration, onStall func()) *stallGuard {
@@ -424,15 +423,16 @@
 // Read implements io.Reader.
 func (g *stallGuard) Read(p []byte) (int, error) {
 	g.started.Store(true)
+	if g.deadline != nil {
+		g.deadline.pause()
+		defer g.deadline.resume()
+	}
 	n, err := g.ReadCloser.Read(p)
 	switch {
 	case err == nil:
 		g.timer.Reset(g.timeout)
 	case g.done.CompareAndSwap(false, true):
 		g.timer.Stop()
-		if g.onEnd != nil {
-			g.onEnd()
-		}
 	}
 	return n, err //nolint:wrapcheck // the caller compares with io.EOF
 }
