http1: a truncated response resets the connection of a caller with HTTP/1.0

Callers saw: with HTTP/1.0, a response of unknown length that is broken off ends with the connection, which is closed in the ordinary way: it looks complete. Cause: such a response has neither a length nor chunks, and a closed connection is its end. Fix: the connection is reset if the response cannot be completed and has no other end. Evidence: TestTruncatedHTTP10; the caller got no error before.

--- a/briarrockd/http1/conn.go
+++ b/briarrockd/http1/conn.go
@@ -57,6 +57,16 @@
 	_ = c.nc.Close()
 }
 
+// abortResponse is abort after a response that has failed. If only the end of the
+// connection marks that of the response, it resets the connection, since the caller
+// would otherwise take a truncated response for a complete one.
+func (c *conn) abortResponse(x *exchange) {
+	if l, ok := c.nc.(interface{ SetLinger(sec int) error }); ok && x.endsWithConn() {
+		_ = l.SetLinger(0)
+	}
+	c.abort()
+}
+
 func (c *conn) pendingCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/briarrockd/http1/exchange.go
+++ b/briarrockd/http1/exchange.go
@@ -76,7 +76,7 @@
 		x.c.s.cfg.OnPanic(v, debug.Stack())
 	}
 	x.err = http.ErrAbortHandler
-	x.c.abort()
+	x.c.abortResponse(x)
 }
 
 // end completes the response, discards the rest of the request body and lets the next
@@ -166,7 +166,7 @@
 		return
 	}
 	x.err = err
-	x.c.abort()
+	x.c.abortResponse(x)
 }
 
 // Write implements http.ResponseWriter.
@@ -213,6 +213,11 @@
 // server a response may always start before the request body has ended.
 func (x *exchange) EnableFullDuplex() error { return nil }
 
+// endsWithConn reports whether the response has a body whose end is that of the connection.
+func (x *exchange) endsWithConn() bool {
+	return x.wroteHeader && !x.noBody && x.chunkWriter == nil && x.contentLength < 0
+}
+
 // finish completes the response.
 func (x *exchange) finish() {
 	if !x.wroteHeader {
--- a/briarrockd/http1/server_test.go
+++ b/briarrockd/http1/server_test.go
@@ -251,3 +251,18 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(body, qt.Equals, "ok")
 }
+
+// TestTruncatedHTTP10 guards against a truncated response that looks complete to a caller
+// with HTTP/1.0, for whom the end of the connection is that of the response.
+func TestTruncatedHTTP10(t *testing.T) {
+	c := qt.New(t)
+	_, nc := serve(c, http1.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(50 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	})})
+	send(c, nc, "GET / HTTP/1.0\nHost: a\n\n")
+	_, _, err := receive(bufio.NewReader(nc))
+	c.Check(err, qt.ErrorMatches, ".*connection reset by peer")
+}
