http1: a response doesn't wait for a read of the request's body

Callers saw: an answer that comes before the caller has sent its whole body, such as the failure at the deadline or a target's early answer, arrived up to 10 s late if the caller had stopped sending. Cause: a read of the body held the mutex of its state while it waited for bytes, and the head of a response needs that state to decide whether the connection closes. Package relay gives up an exchange while the transport still reads the body. Fix: reads have a mutex of their own. Evidence: TestResponseDuringBodyRead, 10.0 s before in each of its three cases.

--- a/briarrockd/http1/exchange.go
+++ b/briarrockd/http1/exchange.go
@@ -209,6 +209,20 @@
 	return x.c.nc.SetWriteDeadline(t) //nolint:wrapcheck // passed through
 }
 
+// SetReadDeadline is used by http.ResponseController. Once the request body has ended, the
+// connection's deadline belongs to the next request.
+func (x *exchange) SetReadDeadline(t time.Time) error {
+	if x.body == nil {
+		return nil
+	}
+	x.body.mu.Lock()
+	defer x.body.mu.Unlock()
+	if x.body.closed {
+		return nil
+	}
+	return x.c.nc.SetReadDeadline(t) //nolint:wrapcheck // passed through
+}
+
 // EnableFullDuplex is used by http.ResponseController. It does nothing, since with this
 // server a response may always start before the request body has ended.
 func (x *exchange) EnableFullDuplex() error { return nil }
@@ -251,25 +265,21 @@
 	received       int64 // bytes read
 	awaitsContinue bool  // the caller expects 100 Continue, which has not been sent
 	heldBack       bool  // the caller never sends the body without 100 Continue
-	mu             sync.Mutex
-	closed         bool // ended was closed
-	err            error
-	ended          chan struct{} // closed when the body was read to its end or has failed
+	// reading is held during reads, which may block for long. mu guards the state; a
+	// response that begins before the body has ended needs it.
+	reading sync.Mutex
+	mu      sync.Mutex
+	closed  bool // ended was closed
+	err     error
+	ended   chan struct{} // closed when the body was read to its end or has failed
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.err != nil {
-		return 0, b.err
-	}
-	if b.awaitsContinue {
-		b.awaitsContinue = false
-		if !b.sendContinue() {
-			b.finish(ErrClosed)
-			return 0, b.err
-		}
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	if err := b.requestBytes(); err != nil {
+		return 0, err
 	}
 	_ = b.x.c.nc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	n, err := b.r.Read(p)
@@ -279,11 +289,27 @@
 	}
 	if err != nil {
 		_ = b.x.c.nc.SetReadDeadline(time.Time{})
+		b.mu.Lock()
+		defer b.mu.Unlock()
 		b.finish(err)
 	}
 	return n, err //nolint:wrapcheck // the caller compares with io.EOF
 }
 
+// requestBytes sends 100 Continue if the caller waits for it. It returns an error if the
+// body has ended.
+func (b *body) requestBytes() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == nil && b.awaitsContinue {
+		b.awaitsContinue = false
+		if !b.sendContinue() {
+			b.finish(ErrClosed)
+		}
+	}
+	return b.err
+}
+
 // sendContinue sends 100 Continue. It returns false if the response has already been
 // started or the connection was closed.
 func (b *body) sendContinue() bool {
--- a/briarrockd/http1/server_test.go
+++ b/briarrockd/http1/server_test.go
@@ -252,6 +252,32 @@
 	c.Check(body, qt.Equals, "ok")
 }
 
+// TestResponseDuringBodyRead guards against a response that waits until a read of the
+// request's body returns, which is in progress and whose sender has stopped.
+func TestResponseDuringBodyRead(t *testing.T) {
+	for name, head := range map[string]string{
+		"chunked":       "Transfer-Encoding: chunked\n\n4\nbody\n",
+		"with a length": "Content-Length: 9\n\nbody",
+		"long":          "Content-Length: 900000\n\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, nc := serve(c, http1.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadFull(r.Body, make([]byte, 4))
+				go func() { _, _ = r.Body.Read(make([]byte, 1)) }()
+				time.Sleep(50 * time.Millisecond) // until the read has begun
+				w.WriteHeader(http.StatusConflict)
+			})})
+			began := time.Now()
+			send(c, nc, "PUT / HTTP/1.1\nHost: a\n"+head)
+			res, _, err := receive(bufio.NewReader(nc))
+			c.Assert(err, qt.IsNil)
+			c.Check(res.StatusCode, qt.Equals, http.StatusConflict)
+			c.Check(time.Since(began) < 5*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		})
+	}
+}
+
 // TestTruncatedHTTP10 guards against a truncated response that looks complete to a caller
 // with HTTP/1.0, for whom the end of the connection is that of the response.
 func TestTruncatedHTTP10(t *testing.T) {
