relay: the deadline of a request ends with the body of its response

Callers saw: an answer whose body never ends, or goes silent, had no end of its own: one that is buffered waited until its caller gave up, one that is passed on went on as long as bytes came. A request that may run once goes on without its caller and kept its slot for good; the service was then refused until its nodes were started again. Cause: the timer of the deadline was stopped at the head of the response. Reading a body into memory had no timer at all, nor had discarding the rest of a refusal. Fix: the timer runs until the body has been read or closed; it pauses for the caller's body only until the response begins. A buffered answer that is late is answered with 504 (late), one that is being passed on breaks off its connection. Discarding a rest takes 50 ms at most. An exchange over HTTP/2 that has failed interrupts the read of the request's body that its transport waits for. An answer that breaks off while it is passed on is logged on both hosts. TestTruncatedAnswer checks the kind of the failure too, since BufferResponse returns an Outcome.

--- a/briarrockd/caller/attempt.go
+++ b/briarrockd/caller/attempt.go
@@ -59,7 +59,7 @@
 		In: c.r, URL: relay.RebaseURL(&url.URL{Scheme: p.deps.Scheme, Host: u.addr}, c.r), Host: c.r.Host,
 		ExtraHeader: c.nodeHeaders(u, withheld), Body: body, ContentLength: length, Transport: p.deps.Transport, StallTimeout: p.deps.StallTimeout,
 		Deadline: c.deadline.Add(deadlineSlack), Streamed: c.streamed,
-		Once: c.route.Mode == snapshot.Once, ForwardAfterBody: withheld && !c.streamed,
+		Once: c.route.Mode == snapshot.Once, ForwardAfterBody: withheld && !c.streamed, InterruptBody: c.interruptBody,
 	})
 	a := attempt{res: res, host: u.host, kind: out.Kind, err: out.Err}
 	if res != nil {
@@ -94,8 +94,8 @@
 	if a.kind != kind.None || (streamed && res.ContentLength < 0) {
 		return
 	}
-	if relay.BufferResponse(res, relay.MaxBufferedResponse) != nil {
-		a.res, a.kind, a.ran = nil, kind.Broken, kind.RanUnknown
+	if out := relay.BufferResponse(res, relay.MaxBufferedResponse); out.Kind != kind.None {
+		a.res, a.kind, a.ran, a.err = nil, out.Kind, kind.RanUnknown, out.Err
 	}
 }
 
--- a/briarrockd/caller/attempts.go
+++ b/briarrockd/caller/attempts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -289,8 +288,7 @@
 	if res == nil {
 		return
 	}
-	_, _ = io.CopyN(io.Discard, res.Body, maxDiscardBytes)
-	_ = res.Body.Close()
+	relay.Discard(res, maxDiscardBytes)
 }
 
 // writeResponse passes a target's response to the caller. If rec is not nil it records
@@ -308,6 +306,8 @@
 	}
 	out := relay.CopyResponse(w, a.res, p.deps.StallTimeout)
 	if out.Kind != kind.None {
-		panic(http.ErrAbortHandler)
+		c.decisions.cause = out.Err
+		p.logCall(c, out.Kind, a.ran, a.res.StatusCode, 0)
+		relay.Abort(w)
 	}
 }
--- a/briarrockd/caller/attempts_test.go
+++ b/briarrockd/caller/attempts_test.go
@@ -214,7 +214,9 @@
 		StatusCode: 200, Header: make(http.Header), ContentLength: 10,
 		Body: io.NopCloser(io.MultiReader(strings.NewReader("half"), brokenReader{})),
 	}
-	c.Check(relay.BufferResponse(res, 1<<10), qt.ErrorMatches, "broken")
+	out := relay.BufferResponse(res, 1<<10)
+	c.Check(out.Kind, qt.Equals, kind.Broken)
+	c.Check(out.Err, qt.ErrorMatches, "broken")
 }
 
 type brokenReader struct{}
--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -180,10 +180,12 @@
 	body        []byte // kept for retries; nil if empty or streamed
 	streamed    bool
 	stream      *streamedBody
-	fingerprint uint64
-	claim       *claim.Claim
-	trace       string
-	decisions   callDecisions
+	// interruptBody makes a read of the request's body fail that is in progress.
+	interruptBody func()
+	fingerprint   uint64
+	claim         *claim.Claim
+	trace         string
+	decisions     callDecisions
 }
 
 // refusal is the reason for which a call is refused, and the delay before a retry if one
@@ -216,6 +218,7 @@
 		p.fail(w, c, ref.kind, kind.RanNo, ref.retryAfter)
 		return
 	}
+	c.interruptBody = func() { relay.InterruptBody(w) }
 	if r.Header.Get(HeaderKey) != "" && c.route.Mode == snapshot.Once {
 		p.serveOnce(w, c)
 		return
--- a/briarrockd/relay/deadline.go
+++ b/briarrockd/relay/deadline.go
@@ -14,7 +14,8 @@
 	left      time.Duration
 	resumedAt time.Time
 	paused    bool
-	stopped   bool
+	// noPause is set once the timer is not to be paused any more.
+	noPause bool
 }
 
 func newDeadlineTimer(left time.Duration, onExpire func()) *deadlineTimer {
@@ -25,7 +26,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	// A timer that has expired stays expired.
-	if t.paused || t.stopped || !t.timer.Stop() {
+	if t.paused || t.noPause || !t.timer.Stop() {
 		return
 	}
 	t.paused = true
@@ -35,7 +36,19 @@
 func (t *deadlineTimer) resume() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.paused || t.stopped {
+	t.resumeLocked()
+}
+
+// disablePause resumes the timer for good.
+func (t *deadlineTimer) disablePause() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.noPause = true
+	t.resumeLocked()
+}
+
+func (t *deadlineTimer) resumeLocked() {
+	if !t.paused {
 		return
 	}
 	t.paused = false
@@ -46,6 +59,6 @@
 func (t *deadlineTimer) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stopped = true
+	t.paused, t.noPause = false, true
 	t.timer.Stop()
 }
--- a/briarrockd/relay/relay.go
+++ b/briarrockd/relay/relay.go
@@ -39,8 +39,8 @@
 var (
 	// ErrStall is the cause if no body bytes were transferred within the stall timeout.
 	ErrStall = errors.New("relay: no body bytes transferred within the stall timeout")
-	// ErrDeadline is the cause if no response headers were received before Call.Deadline.
-	ErrDeadline = errors.New("relay: no response headers before the deadline")
+	// ErrDeadline is the cause if the response was not complete before Call.Deadline.
+	ErrDeadline = errors.New("relay: no complete response before the deadline")
 )
 
 // HeaderPrefix is the prefix of all headers that nodes send to each other or to
@@ -65,6 +65,9 @@
 	ExtraHeader http.Header
 	// Body is the body to send; nil for none.
 	Body io.Reader
+	// InterruptBody, if set, makes a read of Body fail that is in progress. net/http's
+	// HTTP/2 transport waits for it after the exchange has failed.
+	InterruptBody func()
 	// ContentLength is the number of bytes in Body, -1 if unknown.
 	ContentLength int64
 	// Transport sends the request. Its connections must be opened by Dialer.
@@ -75,16 +78,16 @@
 	// Once is set for a request that must be sent at most once, which also forbids
 	// retries inside Transport.
 	Once bool
-	// Deadline is the time by which the response headers must be received.
+	// Deadline is the time by which the response must be received, to the end of its body.
 	Deadline time.Time
 	// ForwardAfterBody is set if the next hop forwards the request only after it has
 	// sent 100 Continue and received the body. Such a request counts as not sent
 	// until the transport begins to read Body.
 	ForwardAfterBody bool
 	// Streamed is set for a body that its sender may take any time to send, as long as it
-	// does not stall. Deadline is then extended by the time that reads of Body take. All
-	// other waits count: for a connection, for 100 Continue, and for the next hop to
-	// receive the body.
+	// does not stall. Deadline is then extended by the time that reads of Body take before
+	// the response begins. All other waits count: for a connection, for 100 Continue, and
+	// for the next hop to receive the body.
 	Streamed bool
 }
 
@@ -141,6 +144,7 @@
 	var body *stallGuard
 	if c.Body != nil {
 		body = newStallGuard(req.Body, c.StallTimeout, func() { cancel(ErrStall) })
+		body.interrupt = c.InterruptBody
 		req.Body = body
 	}
 	if c.Streamed && body != nil {
@@ -150,13 +154,14 @@
 	if body != nil {
 		body.stop()
 	}
-	timer.stop()
+	timer.disablePause()
 	if err != nil {
+		timer.stop()
 		out := tracker.outcome(ctx, err, tracker.sent() && !c.isForwardPending(body))
 		cancel(nil)
 		return nil, out
 	}
-	res.Body = &cancelOnClose{ReadCloser: res.Body, cancel: cancel}
+	res.Body = &exchangeBody{ReadCloser: res.Body, cancel: cancel, timer: timer}
 	return res, Outcome{Sent: true}
 }
 
@@ -273,20 +278,21 @@
 }
 
 // BufferResponse reads a response body of at most limit bytes into memory, so that a
-// truncated response is detected before any of it is forwarded. A larger body
-// is left to be streamed. The returned error is that of reading the body.
-func BufferResponse(res *http.Response, limit int64) error {
+// truncated response is detected before any of it is forwarded. A larger body is left to
+// be streamed. If Outcome.Kind is not None, the body has failed and is closed.
+func BufferResponse(res *http.Response, limit int64) Outcome {
 	if res.ContentLength > limit {
-		return nil
+		return Outcome{Sent: true}
 	}
 	b, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
 	if err != nil {
+		out := bodyOutcome(res, err)
 		_ = res.Body.Close()
-		return errors.WithStack(err)
+		return out
 	}
 	if int64(len(b)) > limit {
 		res.Body = &prefixedBody{io.MultiReader(bytes.NewReader(b), res.Body), res.Body}
-		return nil
+		return Outcome{Sent: true}
 	}
 	_ = res.Body.Close()
 	res.Body = io.NopCloser(bytes.NewReader(b))
@@ -295,7 +301,19 @@
 		res.TransferEncoding = nil
 		res.Header.Set("Content-Length", strconv.Itoa(len(b)))
 	}
-	return nil
+	return Outcome{Sent: true}
+}
+
+// discardTimeout is the time for which Discard waits for the rest of a body.
+const discardTimeout = 50 * time.Millisecond
+
+// Discard closes the body of a response that is not forwarded. It reads the rest first, so
+// that the connection can be reused, if that has at most limit bytes and arrives soon.
+func Discard(res *http.Response, limit int64) {
+	stall := time.AfterFunc(discardTimeout, func() { cancelStalled(res) })
+	defer stall.Stop()
+	_, _ = io.CopyN(io.Discard, res.Body, limit)
+	_ = res.Body.Close()
 }
 
 // prefixedBody is a response body whose beginning was already read into memory: Reader
@@ -307,8 +325,7 @@
 
 // CopyResponse copies a response to the caller and closes its body. stallTimeout limits
 // each read of the body and each write. If copying fails, Outcome.Kind is not None and
-// the handler must panic with http.ErrAbortHandler: this closes the connection, so that
-// the caller cannot take a truncated response for a complete one.
+// the handler must call Abort.
 func CopyResponse(w http.ResponseWriter, res *http.Response, stallTimeout time.Duration) Outcome {
 	defer func() { _ = res.Body.Close() }()
 	announceTrailers(w.Header(), res.Trailer)
@@ -321,6 +338,19 @@
 	return out
 }
 
+// Abort ends the handling of a request after its response has been begun and cannot be
+// completed. It closes the connection by a panic with http.ErrAbortHandler, so that the
+// caller cannot take a truncated response for a complete one.
+func Abort(w http.ResponseWriter) {
+	InterruptBody(w) // net/http's server waits for a read in progress
+	panic(http.ErrAbortHandler)
+}
+
+// InterruptBody makes a read of the request's body fail that is in progress.
+func InterruptBody(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+}
+
 // announceTrailers adds the Trailer header, which net/http needs before the body.
 func announceTrailers(h http.Header, trailer http.Header) {
 	for k := range trailer {
@@ -339,8 +369,7 @@
 // unknown, since the caller may be waiting for each part of such a response.
 func copyBody(w http.ResponseWriter, res *http.Response, stallTimeout time.Duration) Outcome {
 	ctl := http.NewResponseController(w)
-	ctx := res.Request.Context()
-	timer := time.AfterFunc(stallTimeout, func() { cancelStalled(ctx) })
+	timer := time.AfterFunc(stallTimeout, func() { cancelStalled(res) })
 	defer timer.Stop()
 	pooled, _ := bufferPool.Get().(*[copyBufferSize]byte)
 	defer bufferPool.Put(pooled)
@@ -361,7 +390,7 @@
 			return Outcome{Sent: true}
 		}
 		if err != nil {
-			return Outcome{Kind: bodyErrorKind(ctx), Sent: true, Err: err}
+			return bodyOutcome(res, err)
 		}
 	}
 }
@@ -370,34 +399,46 @@
 // the context since the response body may have been wrapped in the meantime.
 type cancelKey struct{}
 
-// cancelStalled cancels the exchange of ctx with ErrStall.
-func cancelStalled(ctx context.Context) {
-	if cancel, ok := ctx.Value(cancelKey{}).(context.CancelCauseFunc); ok {
+// cancelStalled cancels the exchange of a response with ErrStall.
+func cancelStalled(res *http.Response) {
+	if cancel, ok := requestContext(res).Value(cancelKey{}).(context.CancelCauseFunc); ok {
 		cancel(ErrStall)
 	}
 }
 
-// bodyErrorKind returns the failure kind of an error in reading a response body.
-func bodyErrorKind(ctx context.Context) kind.Kind {
-	cause := context.Cause(ctx)
+// requestContext returns the context of the request of a response.
+func requestContext(res *http.Response) context.Context {
+	if res.Request == nil {
+		return context.Background()
+	}
+	return res.Request.Context()
+}
+
+// bodyOutcome classifies an error in reading a response body.
+func bodyOutcome(res *http.Response, err error) Outcome {
+	out := Outcome{Kind: kind.Broken, Sent: true, Err: err}
+	cause := context.Cause(requestContext(res))
 	switch {
 	case errors.Is(cause, ErrStall):
-		return kind.Stall
+		out.Kind = kind.Stall
+	case errors.Is(cause, ErrDeadline):
+		out.Kind, out.Err = kind.Late, ErrDeadline
 	case errors.Is(cause, context.Canceled):
-		return kind.Cancel
-	default:
-		return kind.Broken
+		out.Kind = kind.Cancel
 	}
+	return out
 }
 
-// cancelOnClose is a response body that cancels its exchange when it is closed.
-type cancelOnClose struct {
+// exchangeBody is a response body that ends its exchange when it is closed.
+type exchangeBody struct {
 	io.ReadCloser
 	cancel context.CancelCauseFunc
+	timer  *deadlineTimer
 }
 
 // Close implements io.Closer.
-func (c *cancelOnClose) Close() error {
+func (c *exchangeBody) Close() error {
+	c.timer.stop()
 	// Cancel first: closing an HTTP/2 response body waits until the request has been
 	// sent, which never happens if the caller has stopped in the middle of its
 	// body. The call would then occupy its concurrency slot forever.
@@ -412,8 +453,12 @@
 	timeout time.Duration
 	// deadline, if set, is paused during reads.
 	deadline *deadlineTimer
-	started  atomic.Bool // a read has begun
-	done     atomic.Bool // the body has ended, or stop was called
+	// interrupt, if set, makes a read in progress fail.
+	interrupt func()
+	reading   atomic.Bool
+	closed    atomic.Bool
+	started   atomic.Bool // a read has begun
+	done      atomic.Bool // the body has ended, or stop was called
 }
 
 func newStallGuard(b io.ReadCloser, timeout time.Duration, onStall func()) *stallGuard {
@@ -423,6 +468,11 @@
 // Read implements io.Reader.
 func (g *stallGuard) Read(p []byte) (int, error) {
 	g.started.Store(true)
+	g.reading.Store(true)
+	defer g.reading.Store(false)
+	if g.closed.Load() {
+		return 0, http.ErrBodyReadAfterClose
+	}
 	if g.deadline != nil {
 		g.deadline.pause()
 		defer g.deadline.resume()
@@ -437,6 +487,15 @@
 	return n, err //nolint:wrapcheck // the caller compares with io.EOF
 }
 
+// Close implements io.Closer. A transport calls it once it needs no more of the body.
+func (g *stallGuard) Close() error {
+	g.closed.Store(true)
+	if g.reading.Load() && g.interrupt != nil {
+		g.interrupt()
+	}
+	return nil
+}
+
 // stop ends the supervision once the response headers have been received. A target
 // may respond without reading the whole body; that is not a stall.
 func (g *stallGuard) stop() {
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -273,14 +273,14 @@
 	res, out := relay.Send(ctx, relay.Call{
 		In: r, URL: relay.RebaseURL(x.url, r), Host: r.Host, ExtraHeader: t.targetHeaders(r, x, c),
 		Body: requestBody(r, func() { x.step(BodyReceived{id}) }), ContentLength: r.ContentLength, Transport: x.transport, StallTimeout: t.deps.StallTimeout,
-		Deadline: c.deadline, Streamed: relay.IsStreamed(r), Once: c.atMostOnce,
+		Deadline: c.deadline, Streamed: relay.IsStreamed(r), Once: c.atMostOnce, InterruptBody: func() { relay.InterruptBody(w) },
 	})
 	if res != nil {
 		t.observeResponse(x, res.Header, sent)
 	}
 	if res != nil && (res.ContentLength >= 0 || !relay.IsStreamed(r)) {
-		if err := relay.BufferResponse(res, relay.MaxBufferedResponse); err != nil {
-			res, out = nil, relay.Outcome{Kind: kind.Broken, Sent: true, Err: err}
+		if out = relay.BufferResponse(res, relay.MaxBufferedResponse); out.Kind != kind.None {
+			res = nil
 		}
 	}
 	completed.Duration = time.Since(sent)
@@ -310,7 +310,9 @@
 	w.Header().Set(kind.HeaderRan, kind.RanYes.String())
 	out = relay.CopyResponse(w, res, t.deps.StallTimeout)
 	if out.Kind != kind.None {
-		panic(http.ErrAbortHandler)
+		completed.Failed = out.Kind != kind.Cancel
+		t.logCall(c, x, time.Since(sent), string(out.Kind), out.Err)
+		relay.Abort(w)
 	}
 	// A target that refuses a request or fails shows nothing about what the request does.
 	if c.fingerprint != 0 && !completed.Shed && !completed.Failed && t.deps.CrashCount(c.fingerprint) > 0 {
@@ -324,8 +326,7 @@
 	// Once the response has been read to its end, the connection can be reused. A target that sheds
 	// load would otherwise cost its node a new connection for each request, which uses up the CPU
 	// of a small host.
-	_, _ = io.CopyN(io.Discard, res.Body, maxRefusalBytes)
-	_ = res.Body.Close()
+	relay.Discard(res, maxRefusalBytes)
 	if res.StatusCode == http.StatusMisdirectedRequest {
 		t.drop(x, "address is used by another target")
 		t.refuse(w, c, nil, Refuse{Kind: kind.Drain})
