local: the check of what a target can send to a caller that does not read can fail

The bound of 32 MB in TestEndlessResponses was out of reach: its responses are paced at 3 MB a second at most. Its place takes TestEndlessUnread, whose target sends as fast as it can: at least 1 MB must be sent, at most 64 MB (the buffers of the sockets), and the heap of the nodes may grow by 16 MB.

--- a/briarrock/local/endless_test.go
+++ b/briarrock/local/endless_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,8 +43,9 @@
 	// nothing of it may be left.
 	endlessSlack = time.Second
 	// maxUnreadBytes is what a target may send towards a caller that does not read: the
-	// buffers of the sockets and nodes on the way.
-	maxUnreadBytes = 32 << 20
+	// buffers of the sockets on the way. maxUnreadHeap is what the nodes may keep of it.
+	maxUnreadBytes = 64 << 20
+	maxUnreadHeap  = 16 << 20
 )
 
 const endlessUpload = "upload"
@@ -137,8 +139,8 @@
 	return n, ok
 }
 
-// endlessCall sends the call to a node and reads its response to the end, unless reads is
-// false. It returns what makes the response a complete one of the target, if anything.
+// endlessCall sends a call to a node and reads its response to the end, or reads nothing
+// until the deadline. It returns what is wrong with the response.
 func endlessCall(nodeAddr, request string, reads bool) string {
 	nc, err := net.Dial("tcp", nodeAddr)
 	if err != nil {
@@ -184,22 +186,7 @@
 	b, err := os.ReadFile("testdata/endless.yaml")
 	c.Assert(err, qt.IsNil)
 	c.Assert(yaml.Unmarshal(b, &responses), qt.IsNil)
-	m, err := local.Start(local.Spec{Locations: twoRegions[:2], NodesPerDomain: 1, StoreRegion: "north-line", HTTP1: http1, StallTimeout: testTimeout})
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(m.Close)
-	x := &endlessTarget{responses: make(map[string]endlessResponse), sent: make(map[string]int)}
-	x.l, err = net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = x.l.Close() })
-	go x.serve()
-	ctx, stop := context.WithCancel(context.Background())
-	c.Cleanup(stop)
-	announcer := standintarget.New(standintarget.Config{Service: "orderdesk", Addr: x.l.Addr().String(), Slots: 1000, Conns: 2000})
-	go announcer.Announce(ctx, "http://"+m.Nodes[0].Cfg.AnnounceAddr)
-	for _, r := range responses {
-		x.responses[r.Name] = r
-	}
-	applyAndWait(c, m, endlessText, 1)
+	m, x := startEndless(c, http1, responses)
 	var wg sync.WaitGroup
 	for _, r := range responses {
 		for i, n := range m.Nodes {
@@ -218,6 +205,27 @@
 	c.Check(local.WaitUntil(endlessSlack, func() bool { return x.open.Load() == 0 }), qt.IsNil, qt.Commentf("%d connections to the target are open", x.open.Load()))
 }
 
+// startEndless starts a mesh of two nodes, of which the first has the target.
+func startEndless(c *qt.C, http1 bool, responses []endlessResponse) (*local.Mesh, *endlessTarget) {
+	m, err := local.Start(local.Spec{Locations: twoRegions[:2], NodesPerDomain: 1, StoreRegion: "north-line", HTTP1: http1, StallTimeout: testTimeout})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(m.Close)
+	x := &endlessTarget{responses: make(map[string]endlessResponse), sent: make(map[string]int)}
+	x.l, err = net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = x.l.Close() })
+	go x.serve()
+	ctx, stop := context.WithCancel(context.Background())
+	c.Cleanup(stop)
+	announcer := standintarget.New(standintarget.Config{Service: "orderdesk", Addr: x.l.Addr().String(), Slots: 1000, Conns: 2000})
+	go announcer.Announce(ctx, "http://"+m.Nodes[0].Cfg.AnnounceAddr)
+	for _, r := range responses {
+		x.responses[r.Name] = r
+	}
+	applyAndWait(c, m, endlessText, 1)
+	return m, x
+}
+
 func joinMaps(list []map[string]string) map[string]string {
 	out := make(map[string]string)
 	for _, x := range list {
@@ -231,11 +239,39 @@
 	began := time.Now()
 	problem := endlessCall(nodeAddr, request, reads)
 	took := time.Since(began)
-	sent, reached := x.sentBytes(call)
+	_, reached := x.sentBytes(call)
 	c.Check(problem, qt.Equals, "", qt.Commentf("%s", call))
 	c.Check(took < endlessDeadline+endlessSlack, qt.IsTrue, qt.Commentf("%s took %v", call, took))
 	c.Check(reached, qt.IsTrue, qt.Commentf("%s did not reach the target", call))
-	if !reads {
-		c.Check(sent < maxUnreadBytes, qt.IsTrue, qt.Commentf("%s: %d bytes", call, sent))
+}
+
+// TestEndlessUnread guards against nodes that read a response without an end faster than
+// their caller does, and keep it in memory.
+func TestEndlessUnread(t *testing.T) {
+	c := qt.New(t)
+	for name, http1 := range map[string]bool{"HTTP/1.1": true, "HTTP/2": false} {
+		c.Run(name, func(c *qt.C) {
+			const response = "unread"
+			m, x := startEndless(c, http1, []endlessResponse{{
+				Name: response, Send: "HTTP/1.1 200 OK\r\n\r\n", Repeat: strings.Repeat("x", 64<<10),
+			}})
+			before := heapBytes()
+			during := make(chan uint64, 1)
+			time.AfterFunc(endlessDeadline*3/4, func() { during <- heapBytes() })
+			x.check(c, m.Nodes[1].Cfg.CallerAddr, response, fmt.Sprintf(endlessRequests["GET"], response, response), false)
+			sent, _ := x.sentBytes(response)
+			c.Check(sent > 1<<20, qt.IsTrue, qt.Commentf("only %d bytes", sent))
+			c.Check(sent < maxUnreadBytes, qt.IsTrue, qt.Commentf("%d bytes", sent))
+			after := <-during
+			c.Check(after < before+maxUnreadHeap, qt.IsTrue, qt.Commentf("%d, %d bytes", before, after))
+		})
 	}
 }
+
+// heapBytes returns the size of the objects on the heap that are in use.
+func heapBytes() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
