--- a/briarrockd/http1/persistconn.go
+++ b/briarrockd/http1/persistconn.go
@@ -191,8 +191,6 @@
 	nc          net.Conn
 	headerLimit *limitedReader
 	br          *bufio.Reader
-	// responses counts the final responses that readLoop has received.
-	responses int
 
 	mu          sync.Mutex
 	current     *pendingRequest // nil while idle
@@ -379,8 +377,7 @@
 		if err != nil {
 			return nil, err
 		}
-		pc.responses++
-		if pc.pool.cfg.ResponseMatches == nil || pc.pool.cfg.ResponseMatches(req, res, pc.responses == 1) {
+		if pc.pool.cfg.ResponseMatches == nil || pc.pool.cfg.ResponseMatches(req, res) {
 			return res, nil
 		}
 		if res.ContentLength < 0 && !isChunked(res) || res.Close {
