caller: the routes of the tests have a deadline

Its route had a deadline of zero, so that the timer of the attempt had expired when the attempt began, and raced with the response. It is no fault of the product: a text gives 5 s where it names none, and the platform's configuration names one. The checks are the same.

--- a/briarrockd/caller/balancer_test.go
+++ b/briarrockd/caller/balancer_test.go
@@ -29,8 +29,8 @@
 	s := &snapshot.Snapshot{Services: []snapshot.Service{
 		{Name: "ledgerline", Slots: 6},
 		{Name: "orderdesk", Slots: 6, Routes: []snapshot.Route{
-			{Path: "/", Mode: snapshot.Repeatable},
-			{Path: "/orders", Methods: []string{"POST"}, Mode: snapshot.Once},
+			{Path: "/", Mode: snapshot.Repeatable, Deadline: time.Second},
+			{Path: "/orders", Methods: []string{"POST"}, Mode: snapshot.Once, Deadline: time.Second},
 			{Path: "/orders/old"},
 		}},
 	}}
