--- a/briarrockd/caller/caller.go
+++ b/briarrockd/caller/caller.go
@@ -180,7 +180,7 @@
 	body        []byte // kept for retries; nil if empty or streamed
 	streamed    bool
 	stream      *streamedBody
-	// interruptBody makes a read of the request's body fail that is in progress.
+	// interruptBody aborts a read of the request's body that is in progress.
 	interruptBody func()
 	fingerprint   uint64
 	claim         *claim.Claim
--- a/briarrockd/peer/crashes.go
+++ b/briarrockd/peer/crashes.go
@@ -27,16 +27,16 @@
 // crashRecord holds the crashes during which one request was in flight.
 type crashRecord struct {
 	service string
-	// cleared has an entry for each crash, by its ID: true once the request has completed
-	// in spite of that crash. An entry is never removed and changes only to true, so that
-	// reports may arrive in any order and by several paths.
+	// cleared has an entry for each crash, by its ID: true once the request has been
+	// cleared of it. Entries are never removed and change only to true, so that reports
+	// may arrive in any order and by several paths.
 	cleared   map[uint64]bool
 	updatedAt time.Time
 }
 
-// suspicions returns the IDs of the crashes that the request is suspected of, in ascending
-// order.
-func (r *crashRecord) suspicions() []uint64 {
+// uncleared returns the IDs of the crashes that the request has not been cleared of, in
+// ascending order.
+func (r *crashRecord) uncleared() []uint64 {
 	var ids []uint64
 	for id, cleared := range r.cleared {
 		if !cleared {
@@ -47,8 +47,7 @@
 	return ids
 }
 
-// add adds what a report says. It returns false if that is already known, or if the record
-// is full.
+// add records a report. It returns false for a duplicate, or if the record is full.
 func (r *crashRecord) add(f CrashReport) bool {
 	cleared, known := r.cleared[f.ID]
 	if known && (cleared || !f.Clear) || !known && len(r.cleared) >= maxCrashes {
@@ -77,7 +76,7 @@
 	if r == nil {
 		return
 	}
-	for _, f.ID = range r.suspicions() {
+	for _, f.ID = range r.uncleared() {
 		c.applyCrashReport(0, f)
 	}
 }
@@ -88,9 +87,9 @@
 // over all links, the lazy ones included: a request that crashes targets must not reach
 // another region because a lazy link did not carry the report.
 //
-// All requests in flight at a crash report it under the same ID, so a request of which
-// several were in flight is not taken for the cause of several crashes. The report that
-// clears a crash may overtake that of the crash itself, and is kept for it.
+// All reports of one crash have the same ID, so that several requests with one fingerprint
+// in flight at a crash count as one crash. A report that clears a crash may overtake the
+// report of that crash, and is recorded too.
 func (c *Core) applyCrashReport(from LinkID, f CrashReport) {
 	r := c.crashes.records[f.Print]
 	if r == nil {
@@ -100,16 +99,16 @@
 		r = &crashRecord{service: f.Service, cleared: make(map[uint64]bool)}
 		c.crashes.records[f.Print] = r
 	}
-	before := len(r.suspicions())
+	before := len(r.uncleared())
 	if !r.add(f) {
 		return
 	}
 	r.updatedAt = c.now
-	crashes := len(r.suspicions())
+	crashes := len(r.uncleared())
 	c.emit(HeldRequest{f.Print, r.service, crashes})
 	switch {
 	case before < HoldThreshold && crashes >= HoldThreshold:
-		c.log(event.RequestHeld, event.Fields{event.Subject: r.service, "print": f.Print, "crashes": r.suspicions()})
+		c.log(event.RequestHeld, event.Fields{event.Subject: r.service, "print": f.Print, "crashes": r.uncleared()})
 	case before >= HoldThreshold && crashes < HoldThreshold:
 		c.log(event.RequestReleased, event.Fields{event.Subject: r.service, "print": f.Print})
 	}
@@ -127,7 +126,7 @@
 func (c *Core) tickCrashes() {
 	for fingerprint, r := range c.crashes.records {
 		ttl := crashTTL
-		if len(r.suspicions()) == 0 {
+		if len(r.uncleared()) == 0 {
 			ttl = clearedTTL
 		}
 		if c.now.Sub(r.updatedAt) > ttl {
@@ -141,7 +140,7 @@
 func (t *crashTable) heldRequests() []HeldRequest {
 	var out []HeldRequest
 	for fingerprint, r := range t.records {
-		if crashes := len(r.suspicions()); crashes >= HoldThreshold {
+		if crashes := len(r.uncleared()); crashes >= HoldThreshold {
 			out = append(out, HeldRequest{fingerprint, r.service, crashes})
 		}
 	}
--- a/briarrockd/relay/relay.go
+++ b/briarrockd/relay/relay.go
@@ -65,8 +65,8 @@
 	ExtraHeader http.Header
 	// Body is the body to send; nil for none.
 	Body io.Reader
-	// InterruptBody, if set, makes a read of Body fail that is in progress. net/http's
-	// HTTP/2 transport waits for it after the exchange has failed.
+	// InterruptBody, if set, aborts a read of Body that is in progress. net/http's HTTP/2
+	// transport waits for that read after the exchange has failed.
 	InterruptBody func()
 	// ContentLength is the number of bytes in Body, -1 if unknown.
 	ContentLength int64
@@ -84,8 +84,8 @@
 	// sent 100 Continue and received the body. Such a request counts as not sent
 	// until the transport begins to read Body.
 	ForwardAfterBody bool
-	// Streamed is set for a body that its sender may take any time to send, as long as it
-	// does not stall. Deadline is then extended by the time that reads of Body take before
+	// Streamed is set for a body that may take any time to arrive, as long as it does not
+	// stall. Deadline is then extended by the time that reads of Body take before
 	// the response begins. All other waits count: for a connection, for 100 Continue, and
 	// for the next hop to receive the body.
 	Streamed bool
@@ -346,7 +346,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// InterruptBody makes a read of the request's body fail that is in progress.
+// InterruptBody aborts a read of the request's body that is in progress.
 func InterruptBody(w http.ResponseWriter) {
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 }
@@ -453,7 +453,7 @@
 	timeout time.Duration
 	// deadline, if set, is paused during reads.
 	deadline *deadlineTimer
-	// interrupt, if set, makes a read in progress fail.
+	// interrupt, if set, aborts a read in progress.
 	interrupt func()
 	reading   atomic.Bool
 	closed    atomic.Bool
--- a/briarrockd/target/serve.go
+++ b/briarrockd/target/serve.go
@@ -314,7 +314,7 @@
 		t.logCall(c, x, time.Since(sent), string(out.Kind), out.Err)
 		relay.Abort(w)
 	}
-	// A target that refuses a request or fails shows nothing about what the request does.
+	// A refusal or a failure of the target does not clear the request.
 	if c.fingerprint != 0 && !completed.Shed && !completed.Failed && t.deps.CrashCount(c.fingerprint) > 0 {
 		t.deps.OnCrash(peer.Crashed{Print: c.fingerprint, Service: c.service, Clear: true})
 	}
@@ -429,9 +429,9 @@
 }
 
 // detectCrash checks after a broken connection whether the target still listens. If it does not,
-// it has crashed, and the request in flight may be the cause. Each request in flight reports
-// itself, so no list of them is kept; the crash's ID tells that the reports are about one crash. A
-// suspected request that later runs to its end is cleared.
+// it has crashed, and the request in flight may be the cause. Each request in flight is reported
+// separately, so no list of them is kept; all reports of one crash have the same ID. A suspected
+// request that later completes is cleared.
 func (t *Targets) detectCrash(x *target, c call) {
 	conn, err := net.DialTimeout("tcp", x.addr, dialTimeout)
 	if err == nil {
