--- a/briarrockd/peer/floor.go
+++ b/briarrockd/peer/floor.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 
-	"briarrock.example/mesh/event"
 	"briarrock.example/mesh/snapshot"
 )
 
@@ -108,10 +107,7 @@
 		return
 	}
 	c.emit(ServeVersion{v.number, v.hash, v.staged})
-	c.log(event.VersionInUse, event.Fields{
-		event.Subject: v.hash.Short(), "version": v.number, "from": v.lag.source, "behind": v.lag.duration.Milliseconds(),
-		"tries": v.lag.tries, "staged": c.now.Sub(v.stagedAt).Milliseconds(), "polled": c.ownPollAge(),
-	})
+	c.logInUse()
 	c.useProofs(v.number, v.staged)
 	v.staged = nil
 }
--- a/briarrockd/peer/gossip.go
+++ b/briarrockd/peer/gossip.go
@@ -166,7 +166,7 @@
 }
 
 func (c *Core) onHeartbeat(l *link, f Heartbeat) {
-	c.onPeerPoll(poll{version: f.Version, cursor: f.Cursor, at: c.ago(f.HeadAge)})
+	c.onPeerPoll(poll{host: l.host, version: f.Version, cursor: f.Cursor, at: c.ago(f.HeadAge)})
 	c.recordPeerVersion(l, f.Version)
 	c.noteRemoteVersion(l, f.Version)
 	l.version = max(l.version, f.Version)
--- a/briarrockd/peer/lag_test.go
+++ b/briarrockd/peer/lag_test.go
@@ -54,3 +54,25 @@
 	c.Check(lines[0]["from"], qt.Equals, platformSource)
 	c.Check(lines[0]["behind"], qt.Equals, int64(0))
 }
+
+// TestHistoryLogged guards against a late version of which the log doesn't tell whether it was
+// named late, requested late or answered late.
+func TestHistoryLogged(t *testing.T) {
+	c := qt.New(t)
+	core, now := delegatingCore(c)
+	b, hash := encodeSample(c, 1)
+	core.Step(now, Committed{Version: 1, Hash: hash, Content: b, At: now})
+	now, _ = runTicks(core, now, time.Second)
+
+	// This node polls itself, so it requests the version from a peer after hedgeDelay.
+	next := fullContent(c, 2, 2)
+	core.Step(now, Received{1, VersionNotice{2, next.Hash, true}})
+	now, cmds := runTicks(core, now, time.Second)
+	cmds = append(cmds, core.Step(now, Received{1, next})...)
+	_, more := runTicks(core, now, time.Second)
+	lines := loggedFields(append(cmds, more...), event.VersionInUse)
+	c.Assert(lines, qt.HasLen, 1)
+	c.Check(lines[0]["by"], qt.Equals, "b")
+	c.Check(lines[0]["fetched"], qt.Equals, hedgeDelay.Milliseconds())
+	c.Check(lines[0]["arrived"], qt.Equals, int64(1000))
+}
--- a/briarrockd/peer/topology.go
+++ b/briarrockd/peer/topology.go
@@ -418,7 +418,7 @@
 	}
 	c.merge(l.id, hello.Member)
 	c.table.receive(c.now, l.domain)
-	c.onPeerPoll(poll{version: hello.Version, cursor: hello.Cursor, at: c.ago(hello.HeadAge)})
+	c.onPeerPoll(poll{host: hello.Member.Host, version: hello.Version, cursor: hello.Cursor, at: c.ago(hello.HeadAge)})
 	c.raiseFloor(hello.Floor)
 	c.raiseFloor(hello.DomainFloor)
 	c.recordPeerVersion(l, hello.Version)
--- a/briarrockd/peer/transport.go
+++ b/briarrockd/peer/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -38,6 +39,9 @@
 	// the link is closed.
 	inboxSize  = 1024
 	outboxSize = 512
+	// slowStep is the time from which on a step of the Core is logged. Other messages wait
+	// meanwhile.
+	slowStep = 100 * time.Millisecond
 	// helloTimeout is the time limit for a connection's handshake and its Hello.
 	helloTimeout = 3 * time.Second
 	// maxInbound is the maximum number of open inbound connections.
@@ -212,9 +216,13 @@
 	if t.bootTime != nil {
 		t.core.SetBootTime(t.bootTime())
 	}
-	for _, c := range t.core.Step(time.Now(), m) {
+	start := time.Now()
+	for _, c := range t.core.Step(start, m) {
 		t.execute(c)
 	}
+	if took := time.Since(start); took >= slowStep {
+		t.log.Emit(event.SlowStep, event.Fields{event.Subject: fmt.Sprintf("%T", m), "took": took.Milliseconds(), "queued": len(t.inbox)})
+	}
 }
 
 func (t *Transport) execute(c Cmd) {
--- a/briarrockd/peer/version.go
+++ b/briarrockd/peer/version.go
@@ -92,71 +92,12 @@
 	lag            versionLag
 }
 
-// versionLag is how far the version in use is behind, for the log.
-type versionLag struct {
-	newest uint64    // the newest version that a peer or a poll has named
-	since  time.Time // when the first version above the one in use was named; zero if none
-	logged bool      // that this node is behind
-	// duration is the time from since until the version in use arrived. It came from source,
-	// after tries fetches.
-	duration time.Duration
-	source   string
-	tries    int
-}
-
 // Sources of versions that no peer has sent: this node's own polls, and its cache.
 const (
 	platformSource = "platform"
 	cacheSource    = "cache"
 )
 
-// behindLogDelay is how long a newer version has to be known before the log has that this
-// node is behind.
-const behindLogDelay = time.Second
-
-// nameVersion records that a peer or a poll has named a version.
-func (c *Core) nameVersion(number uint64) {
-	lag := &c.version.lag
-	lag.newest = max(lag.newest, number)
-	if number > c.version.number && lag.since.IsZero() {
-		lag.since = c.now
-	}
-}
-
-// endLag records from where the version in use has come.
-func (c *Core) endLag(source string) {
-	lag := &c.version.lag
-	lag.duration, lag.source, lag.tries = 0, source, c.version.pending.tries
-	if !lag.since.IsZero() {
-		lag.duration = c.now.Sub(lag.since)
-	}
-	lag.since, lag.logged = time.Time{}, false
-	c.nameVersion(lag.newest)
-}
-
-// logLag logs once that this node is behind.
-func (c *Core) logLag() {
-	v := &c.version
-	if v.lag.since.IsZero() || v.lag.logged || c.now.Sub(v.lag.since) < behindLogDelay {
-		return
-	}
-	v.lag.logged = true
-	c.log(event.VersionBehind, event.Fields{
-		"version": v.number, "newest": v.lag.newest, "behind": c.now.Sub(v.lag.since).Milliseconds(),
-		"fetching": v.pending.number, "tries": v.pending.tries, "links": len(c.links),
-		"polled": c.ownPollAge(), "fails": c.watch.failures,
-	})
-}
-
-// ownPollAge returns the age of this node's own newest answered poll in milliseconds, or -1
-// if there is none.
-func (c *Core) ownPollAge() int64 {
-	if c.watch.role.ownPollAt.IsZero() {
-		return -1
-	}
-	return c.now.Sub(c.watch.role.ownPollAt).Milliseconds()
-}
-
 // pendingFetch is the version that is being fetched; its number is 0 if none is.
 type pendingFetch struct {
 	number  uint64
@@ -254,7 +195,7 @@
 // requestVersion starts to fetch a version, or adds a source to the fetch that is
 // pending for it. A from of 0 adds no source.
 func (c *Core) requestVersion(number uint64, hash snapshot.Hash, from LinkID) {
-	c.nameVersion(number)
+	c.nameVersion(number, c.nameOf(from))
 	p := &c.version.pending
 	if number <= c.version.number {
 		return
@@ -316,6 +257,7 @@
 // ask records that peers or the object store are asked for a version. Beyond maxAsked the
 // highest one is forgotten.
 func (c *Core) ask(number uint64, hash snapshot.Hash) {
+	c.version.lag.recordFetch(number, c.now)
 	asked := c.version.asked
 	asked[hash] = number
 	if len(asked) <= maxAsked {
--- a/briarrockd/peer/watch.go
+++ b/briarrockd/peer/watch.go
@@ -63,6 +63,7 @@
 
 // poll is one read of the head, by this node or another one.
 type poll struct {
+	host    string // that reported it, if it is a peer's
 	version uint64 // the newest version at that time
 	cursor  uint64 // position in the platform's change feed
 	at      time.Time
@@ -91,7 +92,7 @@
 		return
 	}
 	if p.version > c.version.number {
-		c.nameVersion(p.version)
+		c.nameVersion(p.version, p.host)
 		if p.at.After(c.watch.pendingPoll.at) {
 			c.watch.pendingPoll = p
 		}
--- a/briarrockd/peer/watchrole.go
+++ b/briarrockd/peer/watchrole.go
@@ -333,7 +333,7 @@
 	if f.Started {
 		c.delayFallbackPoll()
 	} else {
-		c.onPeerPoll(poll{version: f.Version, cursor: f.Cursor, at: c.ago(f.HeadAge), noticedAt: c.now})
+		c.onPeerPoll(poll{host: f.Host, version: f.Version, cursor: f.Cursor, at: c.ago(f.HeadAge), noticedAt: c.now})
 	}
 	c.floodPollNotice(l.id, f)
 }
--- a/mesh/event/event.go
+++ b/mesh/event/event.go
@@ -67,9 +67,11 @@
 	MemberDead       = Event{306, "dead", logrus.WarnLevel}
 	MemberLeft       = Event{307, "left", logrus.InfoLevel}
 	DomainStale      = Event{308, "stale", logrus.WarnLevel}
+	SlowStep         = Event{309, "slowstep", logrus.WarnLevel}
 	StoreDown        = Event{401, "storedown", logrus.WarnLevel}
 	StoreUp          = Event{402, "storeup", logrus.InfoLevel}
 	StoreHistoryLost = Event{403, "storeforgot", logrus.WarnLevel}
+	StoreRead        = Event{404, "storeread", logrus.InfoLevel}
 	CallFailed       = Event{501, "callfailed", logrus.DebugLevel}
 	TargetUp         = Event{502, "targetup", logrus.InfoLevel}
 	TargetGone       = Event{503, "targetgone", logrus.WarnLevel}
@@ -113,8 +115,8 @@
 		Started, Stopping, Stopped, KeysLoaded, KeysBad, Library, LogDropped, Reloaded, Panicked,
 		VersionInUse, VersionRefused, VersionOld, VersionNotFound, WatchAssigned, VersionBehind,
 		Unproven, Proven, ProofRefused, Suspended,
-		LinkUp, LinkDown, PeerRefused, PeerGarbage, MemberSuspect, MemberDead, MemberLeft, DomainStale,
-		StoreDown, StoreUp, StoreHistoryLost,
+		LinkUp, LinkDown, PeerRefused, PeerGarbage, MemberSuspect, MemberDead, MemberLeft, DomainStale, SlowStep,
+		StoreDown, StoreUp, StoreHistoryLost, StoreRead,
 		CallFailed, TargetUp, TargetGone, TargetCrashed, RequestHeld, ClaimLost,
 		CallAnswered, CallGivenUp, RunRefused, RunEnded, TargetState, AnnounceBad, TargetRate, AnswerBad, RequestReleased, RequestMalformed,
 		Workspaces, KeyRefused,
