--- a/briarrockd/node/rollout.go
+++ b/briarrockd/node/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"briarrock.example/briarrockd/peer"
@@ -154,6 +155,11 @@
 // RolloutsEnabled reports whether the deployment has roll-outs.
 func (h *WatchHandle) RolloutsEnabled() bool { return h.node.platform.Rollout.Share > 0 }
 
+// RolloutOpen reports whether a roll-out has not ended.
+func (h *WatchHandle) RolloutOpen() bool {
+	return slices.ContainsFunc(h.node.rollouts.States(), func(s rollout.State) bool { return !s.Phase.Ended() })
+}
+
 // RolloutsConfirmed reports whether this node knows all orders, by the platform or by peers.
 func (h *WatchHandle) RolloutsConfirmed() bool { return h.node.rollouts.Confirmed() }
 
