peer: fetch a version at once where the own poll is no better way

Cause: a node that polls waited 0.4 s after a peer's notice before it fetched the version, as its own poll should bring it. Fallback nodes poll because notices have lapsed, mostly from the far end of a narrow link, and each node below them in the tree waited too: up to 0.5 s a hop.

Evidence: event 201 with 'arrived' of 500 to 530 ms and one fetch, each time at hosts with 'watch' on; the hosts below had the version 0.5 s later.

Change: the wait holds only for nodes that poll by their role and whose polls are answered. Before, the second condition held in strict mode only.

Measured: TestFallbackFetchesAtOnce, new, failed before (no fetch) and passes.

--- a/briarrockd/peer/fetch_test.go
+++ b/briarrockd/peer/fetch_test.go
@@ -87,3 +87,25 @@
 	got := serveChanges(c, core, now, 2*configBound, changeInterval+100*time.Millisecond)
 	c.Check(got <= configBound, qt.IsTrue, qt.Commentf("%v", got))
 }
+
+// TestFallbackFetchesAtOnce guards against changes that come late over a series of hosts, each of
+// which waits for its own poll, which isn't answered, before it requests the version from a peer.
+func TestFallbackFetchesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	core, now := largeDomainCore(c, 25)
+	now, _ = runWithNotices(core, now, 5*time.Second, pollNotice(1, 40))
+	var w Watch
+	for range 40 {
+		var cmds []Cmd
+		now, cmds = runTicks(core, now, TickInterval)
+		if x, ok := lastWatch(cmds); ok {
+			w = x
+		}
+		if w.On {
+			break
+		}
+	}
+	c.Assert(w.On && w.Fallback, qt.IsTrue)
+	cmds := core.Step(now, Received{1, VersionNotice{2, fullContent(c, 2, 2).Hash, true}})
+	c.Check(countFetches(cmds), qt.Equals, 1)
+}
--- a/briarrockd/peer/watchrole.go
+++ b/briarrockd/peer/watchrole.go
@@ -353,8 +353,10 @@
 	switch {
 	case !c.cfg.DelegatePolling || !c.version.ready:
 		return c.now
-	case c.watch.role.current.On && c.cfg.Strict && c.watch.failures > 0:
-		return c.now // this node's proofs are those of other nodes' polls
+	case c.watch.role.current.On && (c.watch.role.current.Fallback || c.watch.failures > 0):
+		// This node's own poll may not be answered, or have the whole path to the platform
+		// before it, and the nodes below in the tree wait for the version too.
+		return c.now
 	case c.watch.role.current.On:
 		// This node's own poll has most likely found the version too. It is fetched
 		// from a peer only if it has not arrived by then.
