tests, peer, platform: clearer names and comments

Cause: some comments of the fixes had to be read twice, and nameOf stood beside nameVersion for another thing.

Change: linkSource, untilClose; comments on bounds and on what tests guard against.

--- a/briarrock/local/cuthead_test.go
+++ b/briarrock/local/cuthead_test.go
@@ -39,8 +39,8 @@
 // cutResponse is a response of a target that breaks off.
 type cutResponse struct {
 	name, head, body string
-	// endless is set if the end of the connection is that of the body.
-	endless bool
+	// untilClose is set if the body ends with the connection.
+	untilClose bool
 }
 
 // cutResponses are the responses, each of which would be a success.
@@ -54,21 +54,21 @@
 		{name: "empty", head: ok + "Content-Length: 0\r\n\r\n"},
 		{name: "no content", head: "HTTP/1.1 204 No Content\r\nX-Name: value\r\n\r\n"},
 		{name: "chunked", head: chunked, body: "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"},
-		{name: "neither", head: ok + "X-Name: value\r\n\r\n", body: "hello world", endless: true},
-		{name: "HTTP/1.0", head: "HTTP/1.0 200 OK\r\nX-Name: value\r\n\r\n", body: "hello world", endless: true},
+		{name: "neither", head: ok + "X-Name: value\r\n\r\n", body: "hello world", untilClose: true},
+		{name: "HTTP/1.0", head: "HTTP/1.0 200 OK\r\nX-Name: value\r\n\r\n", body: "hello world", untilClose: true},
 		{name: "after 103", head: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + ok + "Content-Length: 11\r\n\r\n", body: "hello world"},
 		{name: "after 100", head: "HTTP/1.1 100 Continue\r\n\r\n" + chunked, body: "5\r\nhello\r\n0\r\n\r\n"},
 		{name: "streamed length", head: ok + "Content-Length: " + strconv.Itoa(len(long)) + "\r\n\r\n", body: long},
 		{name: "streamed chunks", head: chunked, body: fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(long), long)},
-		{name: "streamed neither", head: ok + "X-Name: value\r\n\r\n", body: long, endless: true},
+		{name: "streamed neither", head: ok + "X-Name: value\r\n\r\n", body: long, untilClose: true},
 	}
 }
 
-// cuts returns the numbers of bytes after which a response breaks off: all of the head, and of a
-// long body some. The end of a connection without a reset completes an endless body.
+// cuts returns the numbers of bytes after which a response breaks off: every one within the head,
+// some within the body. A body without a length is complete if its connection ends by FIN.
 func (r *cutResponse) cuts(reset bool) []int {
 	n := len(r.head) + len(r.body)
-	if r.endless && !reset {
+	if r.untilClose && !reset {
 		n = len(r.head)
 	}
 	var out []int
--- a/briarrockd/peer/lag.go
+++ b/briarrockd/peer/lag.go
@@ -14,8 +14,8 @@
 	logged bool      // that this node is behind
 	// named has the versions above the one in use that have been named.
 	named map[uint64]versionHistory
-	// duration is the time from since until the version in use arrived. It came from source,
-	// after tries fetches. history is its own.
+	// The rest is about the version in use: the time from since until it arrived, from source,
+	// after tries fetches.
 	duration time.Duration
 	source   string
 	tries    int
@@ -36,8 +36,8 @@
 // node is behind.
 const behindLogDelay = time.Second
 
-// nameOf returns the host at the other end of a link, or platformSource for 0.
-func (c *Core) nameOf(id LinkID) string {
+// linkSource returns the host at the other end of a link, or platformSource for 0.
+func (c *Core) linkSource(id LinkID) string {
 	if l := c.links[id]; l != nil {
 		return l.host
 	}
--- a/briarrockd/peer/lag_test.go
+++ b/briarrockd/peer/lag_test.go
@@ -55,8 +55,8 @@
 	c.Check(lines[0]["behind"], qt.Equals, int64(0))
 }
 
-// TestHistoryLogged guards against a late version of which the log doesn't tell whether it was
-// named late, requested late or answered late.
+// TestHistoryLogged guards against a late version whose delay can't be placed by the log: before
+// it was named, before it was requested, or before the answer.
 func TestHistoryLogged(t *testing.T) {
 	c := qt.New(t)
 	core, now := delegatingCore(c)
--- a/briarrockd/peer/version.go
+++ b/briarrockd/peer/version.go
@@ -195,7 +195,7 @@
 // requestVersion starts to fetch a version, or adds a source to the fetch that is
 // pending for it. A from of 0 adds no source.
 func (c *Core) requestVersion(number uint64, hash snapshot.Hash, from LinkID) {
-	c.nameVersion(number, c.nameOf(from))
+	c.nameVersion(number, c.linkSource(from))
 	p := &c.version.pending
 	if number <= c.version.number {
 		return
--- a/briarrockd/peer/watchrole.go
+++ b/briarrockd/peer/watchrole.go
@@ -354,8 +354,8 @@
 	case !c.cfg.DelegatePolling || !c.version.ready:
 		return c.now
 	case c.watch.role.current.On && (c.watch.role.current.Fallback || c.watch.failures > 0):
-		// This node's own poll may not be answered, or have the whole path to the platform
-		// before it, and the nodes below in the tree wait for the version too.
+		// This node's own poll may fail or take long, and the nodes below it in the tree
+		// wait for the version too.
 		return c.now
 	case c.watch.role.current.On:
 		// This node's own poll has most likely found the version too. It is fetched
